Leave lost answers out of a server's stall and of the in-flight count

The module took one such attempt as proof that the whole server hangs: up to nine of nine servers were out of use at once, and hundreds of requests in each half second found no server and were refused, with the cut at 0 and errors under 5%. It also counted them as load: up to 12 of 12 attempts in flight were such, and at the other node the cut rose on them.

An attempt that is overdue while the server has answered one sent after it is lost: it neither marks the server as stalled nor counts as in flight, and its time-out tells little of the server. A lone silence is tried once more after twice the time.

Ruled out: a cause in the node.

--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -42,6 +42,7 @@
 COLD_SHARE = 0.8  # of what a cold server could do by its age, what we send: peers' keys are warm, its own not
 SUBSCRIBE = 1 << 60  # token of the timer that asks for the list; the others' are ids of held requests
 MASK = (1 << 64) - 1
+ANSWERED = frozenset({Result.OK, Result.ERROR, Result.FULL})  # the server itself has spoken
 
 
 def mix(x: int) -> int:
@@ -68,9 +69,18 @@
     tokens: float  # while cold: attempts it may get; a random start keeps nodes out of step
     tokens_at: float
     health: list[Health]  # by class
-    open: dict[tuple[int, int], tuple[Job, float]] = field(default_factory=dict)  # until when not overdue
+    open: dict[tuple[int, int], tuple[Job, float, float]] = field(default_factory=dict)  # sent, overdue after
     recent: float = 0.0  # our recent attempts, decayed
     slow: float = 1.0  # its answers' time over the usual for their class and its kind
+    reached: float = 0.0  # when the latest of the attempts that it has answered was sent
+
+    def held(self, now: float) -> list[tuple[float, float]]:
+        """When each attempt that it holds was sent and is overdue; without those that it has lost.
+
+        An attempt is lost if it is overdue and one sent after it was answered: the server is at work, but
+        that answer may never come. It tells neither of load nor of a hang.
+        """
+        return [(sent, late) for _, sent, late in self.open.values() if late >= now or sent >= self.reached]
 
 
 @dataclass(slots=True, eq=False)
@@ -216,7 +226,8 @@
     def set_cut(self, passed: float) -> None:
         # Of few requests held most is chance: then it looks at a longer time.
         settle = min(max(SETTLE / self.need, 4 * UPKEEP), 100 * UPKEEP)
-        self.in_flight += (self.flying - self.in_flight) * min(1.0, passed / settle)
+        lost = sum(len(s.open) - len(s.held(self.now)) for s in self.servers.values() if s.open)
+        self.in_flight += (self.flying - lost - self.in_flight) * min(1.0, passed / settle)
         keep = 1 - min(0.5, passed / ERROR_TIME)  # so that a full stop is not for ever
         self.failed, self.seen = self.failed * keep, self.seen * keep
         self.errors = self.failed / (self.seen + PRIOR)
@@ -273,7 +284,7 @@
         job.out.add(job.tries)
         job.maybe_ran[job.tries] = (self.now, server.entry)
         job.used.append(server.entry.id)
-        server.open[(request.id, job.tries)] = job, self.now + STALL * usual
+        server.open[(request.id, job.tries)] = job, self.now, self.now + STALL * usual
         if turn:
             turn.out += 1
         job.tries += 1
@@ -289,10 +300,12 @@
         for server_id in self.draw(job.request.key):
             server = self.servers[server_id]
             health = server.health[job.request.cls]
-            fit = self.usable(server, health) and self.allowed(job, server) and server_id not in job.used
+            held = server.held(self.now)
+            fit = self.usable(server, health, held) and self.allowed(job, server)
+            fit = fit and server_id not in job.used
             if server is lighter or not fit:  # two draws mean two servers, also in a small fleet
                 continue
-            ours = (0.5 * server.recent / mean + 4 * len(server.open)) / max(self.strength(server), 1e-6)
+            ours = (0.5 * server.recent / mean + 4 * len(held)) / max(self.strength(server), 1e-6)
             load = (1 + ours * self.mean_strength) * server.slow * (1 + health.fails)
             seen += 1
             if load < 1 + IDLE or lighter is None or (seen == 2 and load < least):
@@ -328,11 +341,12 @@
         """What a server can do by listed size and by the learned pace of its kind; the strongest: 1."""
         return server.entry.size / self.kinds.get(server.entry.kind, 1.0) / self.strongest
 
-    def usable(self, server: Server, health: Health) -> bool:
-        if health.rest_until > self.now or (health.rest_until and server.open):
+    def usable(self, server: Server, health: Health, held: list[tuple[float, float]]) -> bool:
+        if health.rest_until > self.now or (health.rest_until and held):
             return False  # a suspect rests, then gets one attempt at a time until it proves itself
-        if any(overdue < self.now for _, overdue in server.open.values()):
-            return False  # hung or pausing, seen before any time-out
+        overdue = any(late < self.now for _, late in held)
+        if overdue and (len(held) > 1 or 2 * held[0][1] - held[0][0] > self.now):
+            return False  # hung or pausing, seen before any time-out; a lone one is tried once more, later
         return self.cold_share(server) >= 1.0 or self.cold_token(server)
 
     def cold_share(self, server: Server) -> float:
@@ -369,12 +383,14 @@
         server = self.servers.get(outcome.server)
         if server is None:
             raise LookupError(f"an outcome names server {outcome.server}, which no list has named")
-        job, _ = server.open.pop((outcome.id, outcome.attempt), (None, 0.0))
+        job, sent, _ = server.open.pop((outcome.id, outcome.attempt), (None, 0.0, 0.0))
         if job is None:
             return  # told twice
         self.flying -= 1
         self.note_end(job, outcome)
-        self.learn(server, outcome, job)
+        if outcome.result in ANSWERED:
+            server.reached = max(server.reached, sent)
+        self.learn(server, outcome, job, sent < server.reached)
         if outcome.over or outcome.id not in self.jobs:
             self.finish(outcome.id)
         elif outcome.result == Result.TIMEOUT or self.random.random() < max(self.x, self.no_link):
@@ -393,7 +409,7 @@
                 job.turn.rest_until = self.now + self.settings.key_rest
             self.moved.append(job.turn)
 
-    def learn(self, server: Server, outcome: Outcome, job: Job) -> None:
+    def learn(self, server: Server, outcome: Outcome, job: Job, overtaken: bool) -> None:
         """What an outcome tells of its server and of the fleet."""
         result, cls = outcome.result, job.request.cls
         if result in (Result.CANCELLED, Result.NOT_SENT):
@@ -409,7 +425,8 @@
         self.errors = self.failed / (self.seen + PRIOR)
         if not bad:
             self.usual[cls] += (0.02 if self.x < 0.2 else 0.002) * (outcome.elapsed - self.usual[cls])
-        if not bad or result == Result.TIMEOUT:
+        lost = result == Result.TIMEOUT and overtaken
+        if not bad or (result == Result.TIMEOUT and not lost):
             # How slow against its class, then its kind: few samples of one server, many of its kind.
             ratio = min(outcome.elapsed / self.usual[cls], 8.0)
             kind = self.kinds.get(server.entry.kind, 1.0)
@@ -421,18 +438,18 @@
             self.answers = min(self.answers + 1, max(SAMPLE, self.rate * RATE_TIME))
             self.mean += (outcome.elapsed - self.mean) / self.answers
         if bad:
-            self.suspect(server, cls, result)
+            self.suspect(server, cls, result, lost)
         else:
             health.fails *= 0.7
             health.rest_until, health.strikes = 0.0, health.strikes // 2
 
-    def suspect(self, server: Server, cls: int, result: int) -> None:
+    def suspect(self, server: Server, cls: int, result: int, lost: bool) -> None:
         """A failure: the server rests, for this class or for all, if it stands out."""
         # It may fail one class only; silence tells of all. 'full' is load, but one that says nothing else, as
         # before its drain is listed, would draw traffic by being quick; as no proof it costs the request.
         gain, others = (0.3, 0.3) if result not in (Result.ERROR, Result.FULL) else (0.5, 0.1)
-        if result == Result.FULL and Result.FULL in self.never_ran:
-            gain, others = 0.1, 0.03
+        if lost or (result == Result.FULL and Result.FULL in self.never_ran):
+            gain, others = 0.1, 0.03  # nor is one lost answer silence, while the server gives others
         for other, health in enumerate(server.health):
             health.fails += (gain if other == cls else others) * (1.0 - health.fails)
             if health.fails > SUSPECT_AT + 2 * self.errors and health.rest_until <= self.now:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -277,6 +277,34 @@
         stage.request(due_in=5500.0)
 
 
+def lose_some(stage: Stage, steps: int) -> int:
+    """Every 20th request is never answered, the others in 5 ms; how many were refused."""
+    refused = 0
+    for step in range(steps):
+        stage.advance(5.0)
+        number = stage.request(due_in=1200.0)
+        refused += stage.answers.get(number) == "refused"
+        if step % 20 and (number, 0) in stage.open:
+            stage.advance(5.0)
+            stage.outcome(number, 0, Result.OK, 5.0)
+    return refused
+
+
+def test_a_lost_answer_does_not_mark_its_server_as_stalled() -> None:
+    stage = Stage(settings(classes=(replace(UNSAFE, deadline=1200.0, late_value=0.2),)), servers=4)
+    lose_some(stage, 100)
+    # At any time more answers are missing than there are servers, and each server goes on answering.
+    assert lose_some(stage, 1000) == 0
+    assert len(set(sent_to(stage)[-200:])) == 4
+
+
+def test_lost_answers_are_no_requests_in_flight() -> None:
+    stage = Stage(settings(classes=(replace(UNSAFE, deadline=1200.0, late_value=0.2),)), servers=4)
+    lose_some(stage, 1000)
+    assert len(stage.open) >= 5
+    assert stage.policy.in_flight < 2.0
+
+
 def test_further_attempts_end_under_full_overload() -> None:
     for x, most in ((0.0, 4), (1.0, 1)):
         stage = Stage(settings(classes=(SAFE,)), servers=30)
