End connections that bring no proper request within 2 s, and evict them first

A connection now has 2 s from its opening for a proper request, then gets 408 or a close, and a request has 2 s instead of 10 to come whole. At the limit, those without a proper request go first.

--- a/badgercart/clients.py
+++ b/badgercart/clients.py
@@ -18,7 +18,9 @@
 
 MAX_HEAD = 16384  # bytes of request line and headers
 MAX_WAITING = 16  # requests sent ahead on one connection, after which it is read no further
-REQUEST_TIME = 10.0  # s that a client may take to send one request
+REQUEST_TIME = 2.0  # s that a client may take to send one request
+PROVE_TIME = 2.0  # s from its opening in which a connection must bring a proper request; 3 s are owed at most
+LOOK = 0.2  # s between looks for connections that have not
 LINGER = 1.0  # s to discard what still comes after an answer that ends the connection
 HEALTH_PATH = b"/_health"
 
@@ -85,21 +87,40 @@
         self.limit = limit
         self.connections: set[ClientConnection] = set()
         self.idle: dict[ClientConnection, None] = {}  # in order of how long they have been idle
+        self.unproven: dict[ClientConnection, float] = {}  # no proper request yet; and when opened, in order
 
     async def start(self) -> asyncio.Server:
         host, port = self.config.listen
+        self.loop.call_later(LOOK, self.look)
         return await self.loop.create_server(lambda: ClientConnection(self), host, port, backlog=1024)
 
     def opened(self, client: ClientConnection) -> None:
         self.connections.add(client)
         self.idle[client] = None
-        # Between requests a close is harmless, so at the limit the longest idle one makes room.
-        if len(self.connections) > self.limit and (oldest := next(iter(self.idle))) is not client:
-            oldest.close()
+        self.unproven[client] = self.loop.time()
+        if len(self.connections) <= self.limit:
+            return
+        # At the limit one makes room that has brought nothing of use; else, as between requests a close is
+        # harmless, the longest idle one.
+        for waiting in (self.unproven, self.idle):
+            if (oldest := next(iter(waiting))) is not client:
+                oldest.close()
+                return
+
+    def proven(self, client: ClientConnection) -> None:
+        self.unproven.pop(client, None)
 
     def closed(self, client: ClientConnection) -> None:
         self.connections.discard(client)
         self.idle.pop(client, None)
+        self.unproven.pop(client, None)
+
+    def look(self) -> None:
+        """Who connects and brings no proper request must not hold a descriptor."""
+        self.loop.call_later(LOOK, self.look)
+        before = self.loop.time() - PROVE_TIME
+        for client in [client for client, opened in self.unproven.items() if opened < before]:
+            client.give_up()
 
     def close_idle(self) -> None:
         for client in list(self.idle):
@@ -262,6 +283,13 @@
         self.stop_reading(BadRequest(408))
         self.next()
 
+    def give_up(self) -> None:
+        """No proper request has come in time."""
+        if self.reading and not self.ended:
+            self.too_slow()
+        else:
+            self.close()
+
     def on_url(self, url: bytes) -> None:
         self.url += url
         if len(self.url) > MAX_HEAD:
@@ -310,6 +338,7 @@
         if method == b"POST":
             headers.lines.append(b"Content-Length: %d\r\n" % len(self.body))
         head = b"%b %b HTTP/1.1\r\n%b" % (method, url, b"".join(headers.lines))
+        self.listener.proven(self)
         return ClientRequest(
             message=Message(head, bytes(self.body)),
             cls=cls,
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -600,6 +600,44 @@
     run(test())
 
 
+@pytest.mark.parametrize(
+    "data",
+    [b"", b"GET /find/1 HTTP/1.1\r\nHost:", b"GET /_health HTTP/1.1\r\n\r\n", request("unknown")],
+    ids=["nothing", "part", "health", "improper"],
+)
+def test_a_connection_that_brings_no_proper_request_is_ended(
+    data: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(clients, "PROVE_TIME", 0.05)
+    monkeypatch.setattr(clients, "LOOK", 0.02)
+
+    async def test() -> None:
+        async with running(await Peer().start()) as stand:
+            proper, rude = await stand.client(), await stand.client()
+            assert (await proper.ask(request()))[0] == 200
+            rude.writer.write(data)
+            await rude.end()
+            assert (await proper.ask(request()))[0] == 200
+
+    run(test())
+
+
+def test_connections_that_bring_nothing_make_room_before_those_of_clients() -> None:
+    async def test() -> None:
+        async with running(await Peer().start(), sockets=96) as stand:
+            limit = stand.node.listener.limit
+            proper = await stand.client()
+            assert (await proper.ask(request()))[0] == 200
+            crowd = [await stand.client() for _ in range(limit)]
+            for client in crowd[-5:]:
+                assert (await client.ask(b"GET /_health HTTP/1.1\r\n\r\n"))[0] == 200
+            assert await crowd[0].end() == b""
+            assert (await proper.ask(request()))[0] == 200
+            assert len(stand.node.listener.connections) <= limit
+
+    run(test())
+
+
 def test_small_writes_are_not_held_back() -> None:
     async def test() -> None:
         async with running(await Peer().start()) as stand:
