--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -310,8 +310,8 @@
             seen += 1
             if load < 1 + IDLE or lighter is None or (seen == 2 and load < least):
                 lighter, least = server, load
-            if load < 1 + IDLE or seen == (2 if self.span == len(self.ready) else DRAW):
-                break  # the search for an idle one goes on in a stretch only, where a node knows enough
+            if load < 1 + IDLE or seen == DRAW:
+                break
         if lighter is not None and self.cold_share(lighter) < 1.0:
             lighter.tokens -= 1
         return lighter
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -6,7 +6,19 @@
 
 import pytest
 
-from cottonhall.interface import ListKind, Log, Outcome, Refuse, Request, Result, Send, Subscribe, Wake
+from cottonhall.interface import (
+    ListKind,
+    Log,
+    Outcome,
+    Refuse,
+    Request,
+    Result,
+    Send,
+    ServerEntry,
+    State,
+    Subscribe,
+    Wake,
+)
 from cottonhall.rules import ERRORS_FROM, ERRORS_FULL, PRIOR, Policy
 from tests.support import KEYED, SAFE, START, UNSAFE, Stage, server, settings
 
@@ -320,6 +332,21 @@
     assert "refused" not in stage.answers.values()
 
 
+def test_the_search_for_an_idle_server_goes_past_a_busy_zone() -> None:
+    near = [ServerEntry(number, 0, 0, 0, State.READY, 1.0, 0.0) for number in range(3)]
+    far = [ServerEntry(number, 1, 0, 0, State.READY, 1.0, 0.0) for number in range(3, 9)]
+    stage = Stage(settings(classes=(UNSAFE,)), servers=0)
+    stage.list(near, ListKind.FULL)
+    for _ in range(9):
+        stage.request()  # the servers of our zone hold three each
+    stage.list(near + far, ListKind.FULL)
+    for _ in range(30):
+        stage.now += 5
+        number = stage.request()
+        assert sent_to(stage)[-1] >= 3
+        stage.outcome(number, 0, Result.OK, 5.0)
+
+
 def test_further_attempts_end_under_full_overload() -> None:
     for x, most in ((0.0, 4), (1.0, 1)):
         stage = Stage(settings(classes=(SAFE,)), servers=30)
