Follow discovery to its new address on SIGHUP instead of dying of the signal

The node now reads `discovery` from the file (the variable still holds the address of the start), and restarts the watch there from the version it holds. A file that can't be read is one log line and no change. Before: the new test's node dies of the first signal. After: it serves throughout and takes the list from the new address.

--- a/badgercart/__main__.py
+++ b/badgercart/__main__.py
@@ -11,15 +11,26 @@
 
 import uvloop
 
-from badgercart.config import Config, ConfigError, read_config
+from badgercart.config import Config, ConfigError, read_config, read_discovery
 from badgercart.node import Node
 
+log = logging.getLogger("badgercart")
+
+
+def reload(node: Node) -> None:
+    """The configuration file was replaced. Whatever it holds now, the node goes on."""
+    try:
+        node.move_discovery(read_discovery(os.environ["ROUTER_CONFIG"]))
+    except ConfigError as error:
+        log.warning("configuration not taken over: %s", error)
+
 
 async def serve(config: Config) -> None:
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     node = Node(config, loop)
+    loop.add_signal_handler(signal.SIGHUP, reload, node)
     gc.collect()
     gc.freeze()  # what is there now stays: the collector need not look at it again
     await node.start()
--- a/badgercart/config.py
+++ b/badgercart/config.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -42,12 +43,25 @@
     return host, int(port)
 
 
+@contextmanager
+def _plain_errors(path: str) -> Iterator[None]:
+    """Whatever is wrong with the file, as one line."""
+    try:
+        yield
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except KeyError as error:
+        raise ConfigError(f"{path}: {error} is missing") from None
+    except (TypeError, ValueError, AttributeError, RecursionError, WireError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+
+
 def read_config(environ: Mapping[str, str]) -> Config:
     """The node's configuration. The variables win over what the file repeats of them."""
     path = environ.get("ROUTER_CONFIG")
     if not path:
         raise ConfigError("ROUTER_CONFIG is not set")
-    try:
+    with _plain_errors(path):
         raw = json.loads(Path(path).read_bytes())
         settings = raw["settings"]
         allowed = settings["Allowed"]
@@ -66,9 +80,9 @@
             dial_timeout=float(allowed["DialTimeout"]),
             idle_timeout=float(allowed["ConnIdle"]),
         )
-    except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror}") from None
-    except KeyError as error:
-        raise ConfigError(f"{path}: {error} is missing") from None
-    except (TypeError, ValueError, AttributeError, WireError) as error:
-        raise ConfigError(f"{path}: {error}") from None
+
+
+def read_discovery(path: str) -> Address:
+    """Where discovery is now. Only the file can tell: the variables are those of the start."""
+    with _plain_errors(path):
+        return parse_address(json.loads(Path(path).read_bytes())["discovery"])
--- a/badgercart/discovery.py
+++ b/badgercart/discovery.py
@@ -67,6 +67,10 @@
         self.retry = RETRY_FIRST
         self.failing = False
 
+    def move(self, address: Address) -> None:
+        """The next call goes there. What failed at the old address is no reason to wait."""
+        self.address, self.retry, self.failing = address, RETRY_FIRST, False
+
     async def run(self) -> None:
         while True:
             try:
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -228,6 +228,16 @@
         self.watch = self.loop.create_task(self.discovery.run())
         log.info("%s listens on %s:%d", self.config.name, *self.server.sockets[0].getsockname()[:2])
 
+    def move_discovery(self, address: Address) -> None:
+        """Follow the list at another address from now on; the version held says where to go on."""
+        if address == self.discovery.address:
+            return
+        log.info("discovery moves to %s:%d", *address)
+        self.discovery.move(address)
+        if self.watch is not None:
+            self.watch.cancel()
+            self.watch = self.loop.create_task(self.discovery.run())
+
     async def drain(self) -> None:
         """Take what still comes, answer all that is held, then end."""
         self.stopping = True
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -9,6 +9,9 @@
 import signal
 import subprocess
 import sys
+from asyncio.subprocess import Process
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
 
@@ -58,6 +61,33 @@
     assert words in done.stderr and done.stderr.count("\n") == 1
 
 
+@asynccontextmanager
+async def started(path: Path) -> AsyncIterator[tuple[Process, int]]:
+    """A node that listens and has a list, and its port."""
+    node = await asyncio.create_subprocess_exec(
+        *COMMAND, env=os.environ | {"ROUTER_CONFIG": str(path)}, stderr=asyncio.subprocess.PIPE
+    )
+    try:
+        port, listed = 0, False
+        while not (port and listed):
+            line = await log_line(node)
+            if match := re.search(r"listens on 127\.0\.0\.1:(\d+)", line):
+                port = int(match[1])
+            listed = listed or "list 1" in line
+        yield node, port
+    finally:
+        if node.returncode is None:
+            node.kill()
+            await node.wait()
+
+
+async def log_line(node: Process) -> str:
+    assert node.stderr is not None
+    line = (await asyncio.wait_for(node.stderr.readline(), WAIT)).decode()
+    assert line
+    return line
+
+
 def test_sigterm_answers_what_is_held_and_what_still_comes(tmp_path: Path) -> None:
     release = asyncio.Event()
 
@@ -70,18 +100,7 @@
         agent = await Agent([peer.entry()]).start()
         path = tmp_path / "config.json"
         path.write_text(json.dumps(raw_config() | {"discovery": f"127.0.0.1:{agent.port}"}))
-        node = await asyncio.create_subprocess_exec(
-            *COMMAND, env=os.environ | {"ROUTER_CONFIG": str(path)}, stderr=asyncio.subprocess.PIPE
-        )
-        assert node.stderr is not None
-        try:
-            port, listed, lines = 0, False, node.stderr
-            while not (port and listed):
-                line = (await asyncio.wait_for(lines.readline(), WAIT)).decode()
-                assert line
-                if match := re.search(r"listens on 127\.0\.0\.1:(\d+)", line):
-                    port = int(match[1])
-                listed = listed or "list 1" in line
+        async with started(path) as (node, port):
 
             async def client() -> Client:
                 return Client(*await asyncio.open_connection("127.0.0.1", port))
@@ -101,9 +120,32 @@
                 assert (status, field(head, b"Connection")) == (200, b"close")
                 waiting.writer.close()
             assert await asyncio.wait_for(node.wait(), WAIT) == 0
-        finally:
-            if node.returncode is None:
-                node.kill()
-                await node.wait()
 
     uvloop.run(test(held_back))
+
+
+def test_sighup_moves_the_watch_and_ends_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        peer, later = await Peer().start(), await Peer().start()
+        first = await Agent([peer.entry()]).start()
+        second = await Agent([later.entry()], generation=2).start()
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(raw_config() | {"discovery": f"127.0.0.1:{first.port}"}))
+        async with started(path) as (node, port):
+            client = Client(*await asyncio.open_connection("127.0.0.1", port))
+            assert (await client.ask(request()))[0] == 200
+            for broken in ("not JSON", "[]", "{}", '{"discovery": 7}', '{"discovery": "nowhere"}'):
+                path.write_text(broken)
+                node.send_signal(signal.SIGHUP)
+                while "configuration not taken over" not in await log_line(node):
+                    pass
+            path.write_text(json.dumps(raw_config() | {"discovery": f"127.0.0.1:{second.port}"}))
+            node.send_signal(signal.SIGHUP)
+            assert await asyncio.wait_for(second.calls.get(), WAIT) == "/catalog/members?watch=1&from=1"
+            second.push(2, [peer.entry(state="left"), later.entry("s-2")])
+            while "list 2" not in await log_line(node):
+                pass
+            assert (await client.ask(request()))[0] == 200
+            assert later.requests.qsize() == 1
+
+    uvloop.run(test())
