Weigh a time-out by the time that its client gave

A time-out now counts in full only where the client waited three times as long as answers take, and not at all where it waited no longer than that; it casts as little suspicion on its server.

--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -390,7 +390,7 @@
         self.note_end(job, outcome)
         if outcome.result in ANSWERED:
             server.reached = max(server.reached, sent)
-        self.learn(server, outcome, job, sent < server.reached)
+        self.learn(server, outcome, job, sent)
         if outcome.over or outcome.id not in self.jobs:
             self.finish(outcome.id)
         elif outcome.result == Result.TIMEOUT or self.random.random() < max(self.x, self.no_link):
@@ -409,19 +409,21 @@
                 job.turn.rest_until = self.now + self.settings.key_rest
             self.moved.append(job.turn)
 
-    def learn(self, server: Server, outcome: Outcome, job: Job, overtaken: bool) -> None:
+    def learn(self, server: Server, outcome: Outcome, job: Job, sent: float) -> None:
         """What an outcome tells of its server and of the fleet."""
         result, cls = outcome.result, job.request.cls
         if result in (Result.CANCELLED, Result.NOT_SENT):
             return
         bad, health = result != Result.OK, server.health[cls]
         self.no_link += 0.1 * ((result == Result.UNREACHABLE) - self.no_link)
-        # What loads no server is no overload: no connection made, an answer that was lost alone, or an end
-        # sooner than the work takes.
-        lost = result == Result.TIMEOUT and overtaken
+        # What loads no server is no overload: no connection made, an answer that was lost alone, an end
+        # sooner than the work takes, or a client that would wait for little longer than answers take.
+        lost = result == Result.TIMEOUT and sent < server.reached
         weight = float(result != Result.UNREACHABLE and not lost)
         if result in (Result.ERROR, Result.RESET):
             weight = min(1.0, 0.5 * outcome.elapsed / self.usual[cls])
+        elif result == Result.TIMEOUT:
+            weight *= min(max(0.5 * ((job.request.due - sent) / self.usual[cls] - 1.0), 0.0), 1.0)
         self.seen += 1.0 - self.seen / REACH
         self.failed += weight * bad - self.failed / REACH
         self.errors = self.failed / (self.seen + PRIOR)
@@ -439,18 +441,18 @@
             self.answers = min(self.answers + 1, max(SAMPLE, self.rate * RATE_TIME))
             self.mean += (outcome.elapsed - self.mean) / self.answers
         if bad:
-            self.suspect(server, cls, result, lost)
+            self.suspect(server, cls, result, lost or (result == Result.TIMEOUT and weight < 0.5))
         else:
             health.fails *= 0.7
             health.rest_until, health.strikes = 0.0, health.strikes // 2
 
-    def suspect(self, server: Server, cls: int, result: int, lost: bool) -> None:
+    def suspect(self, server: Server, cls: int, result: int, mild: bool) -> None:
         """A failure: the server rests, for this class or for all, if it stands out."""
         # It may fail one class only; silence tells of all. 'full' is load, but one that says nothing else, as
         # before its drain is listed, would draw traffic by being quick; as no proof it costs the request.
         gain, others = (0.3, 0.3) if result not in (Result.ERROR, Result.FULL) else (0.5, 0.1)
-        if lost or (result == Result.FULL and Result.FULL in self.never_ran):
-            gain, others = 0.1, 0.03  # nor is one lost answer silence, while the server gives others
+        if mild or (result == Result.FULL and Result.FULL in self.never_ran):
+            gain, others = 0.1, 0.03  # nor is one lost answer silence, or one that had too little time
         for other, health in enumerate(server.health):
             health.fails += (gain if other == cls else others) * (1.0 - health.fails)
             if health.fails > SUSPECT_AT + 2 * self.errors and health.rest_until <= self.now:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -332,6 +332,20 @@
     assert "refused" not in stage.answers.values()
 
 
+def test_clients_that_hardly_wait_are_no_overload() -> None:
+    stage = Stage(settings(classes=(replace(UNSAFE, late_value=0.2),)), servers=9)
+    for step in range(2000):
+        stage.advance(5.0)
+        short = step > 400 and step % 3 == 0  # every third client waits no longer than an answer takes
+        number = stage.request(due_in=22.0 if short else 900.0)
+        if (number, 0) in stage.open and not short:
+            stage.now += 15.0
+            stage.outcome(number, 0, Result.OK, 15.0)
+        stage.advance(0.0)
+    assert stage.policy.errors < ERRORS_FROM
+    assert stage.policy.cut == 0.0
+
+
 def test_the_search_for_an_idle_server_goes_past_a_busy_zone() -> None:
     near = [ServerEntry(number, 0, 0, 0, State.READY, 1.0, 0.0) for number in range(3)]
     far = [ServerEntry(number, 1, 0, 0, State.READY, 1.0, 0.0) for number in range(3, 9)]
