Learn how long servers keep idle connections and use none that is older

The pool now counts resets before any byte of an answer by how long the connection had been idle, and does not use older ones while they are reset clearly more often (by a fifth of the uses) than the rest. What was seen is halved every 5 s, so the limit comes back by itself. How a reset is reported stays as it was.

--- a/badgercart/servers.py
+++ b/badgercart/servers.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import time
+from bisect import bisect
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import cast
@@ -17,6 +18,12 @@
 MAX_BODY = 65536
 IDLE_MARGIN = 2000.0  # ms before the server's own limit: its close must not cross a request of ours
 SWEEP = 1.0  # s between looks for connections that have been idle for too long
+IDLE_STEPS = (50.0, 75.0, 100.0, 150.0, 200.0, 300.0, 400.0, 800.0, 1600.0)  # ms idle, to tell resets by
+STALE_LEAST, STALE_SHARE = (
+    3.0,
+    0.2,
+)  # resets, and how much more often than others, that tell
+FORGET = 5  # sweeps after which what was seen counts half
 
 log = logging.getLogger("badgercart")
 
@@ -68,6 +75,44 @@
     idle: list[ServerConnection] = field(default_factory=list)  # the most recently used last
 
 
+class IdleLimit:
+    """How long a connection may stand idle and still be used: servers may end it sooner than they say.
+
+    Where connections that stood idle for longer than a step are reset clearly more often than the others,
+    they are not used again until that has been forgotten.
+    """
+
+    def __init__(self, most: float) -> None:
+        self.most = self.ms = most
+        self.used = [0.0] * (len(IDLE_STEPS) + 1)  # by the idle time before
+        self.reset = self.used[:]
+        self.sweeps = 0
+
+    def note(self, idle: float, reset: bool) -> None:
+        """How an attempt on a used connection ended."""
+        step = bisect(IDLE_STEPS, idle)
+        self.used[step] += 1
+        if reset:
+            self.reset[step] += 1
+            self.learn()
+
+    def learn(self) -> None:
+        for i, step in enumerate(IDLE_STEPS, 1):
+            resets, uses = sum(self.reset[i:]), sum(self.used[i:])
+            others = sum(self.reset[:i]) / max(sum(self.used[:i]), 1.0)
+            if resets >= STALE_LEAST and resets / uses > others + STALE_SHARE:
+                self.ms = min(step, self.most)
+                return
+        self.ms = self.most
+
+    def swept(self) -> None:
+        self.sweeps += 1
+        if self.sweeps % FORGET == 0:
+            self.used = [count / 2 for count in self.used]
+            self.reset = [count / 2 for count in self.reset]
+            self.learn()
+
+
 class ServerConnection(asyncio.Protocol):
     """One connection; it carries one attempt at a time."""
 
@@ -79,11 +124,13 @@
         self.version = server.version
         self.attempt: Attempt | None = None
         self.idle_since = 0.0
+        self.idled: float | None = None  # ms before the attempt under way; None: it is the first
         self.parser = httptools.HttpResponseParser(self)
         self.body = bytearray()
         self.not_started = False
         self.content_type = b""
         self.complete = False
+        self.answering = False  # a byte of the answer has come
         self.keep = False
         self.stray = False  # bytes came after the answer
 
@@ -99,12 +146,13 @@
             # The request has been given to the transport: what its buffer held is no proof that the
             # server did not get it, so the attempt may have run.
             self.attempt = None
+            self.note_idle(reset=not self.answering)
             self.pool.end(attempt, Result.RESET)
 
     def start(self, attempt: Attempt) -> None:
         self.attempt = attempt
         attempt.connection = self
-        self.complete = False
+        self.complete = self.answering = False
         left = max(1, int(attempt.deadline - now_ms()))
         message = attempt.message
         self.transport.write(b"%bRequest-Timeout: %dm\r\n\r\n%b" % (message.head, left, message.body))
@@ -113,6 +161,7 @@
         if self.attempt is None:  # nothing was asked: what comes next on it could pass for an answer
             self.transport.abort()
             return
+        self.answering = True
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -126,6 +175,10 @@
         if self.complete:
             self.finish()
 
+    def note_idle(self, reset: bool) -> None:
+        if self.idled is not None:
+            self.pool.keep_idle.note(self.idled, reset)
+
     def malformed(self, what: str) -> None:
         attempt, self.attempt = self.attempt, None
         self.transport.abort()
@@ -136,6 +189,7 @@
     def finish(self) -> None:
         attempt, self.attempt = self.attempt, None
         assert attempt is not None
+        self.note_idle(reset=False)
         answer = Answer(self.parser.get_status_code(), bytes(self.body), self.content_type)
         if self.keep and not self.stray:
             self.pool.park(self)
@@ -195,7 +249,7 @@
     ) -> None:
         self.loop = loop
         self.dial_timeout = dial_timeout
-        self.keep_idle = max(idle_timeout - IDLE_MARGIN, idle_timeout / 2)
+        self.keep_idle = IdleLimit(max(idle_timeout - IDLE_MARGIN, idle_timeout / 2))
         self.max_connections = max_connections
         self.on_end = on_end
         self.servers: dict[int, Server] = {}
@@ -225,7 +279,9 @@
         attempt.timer = self.loop.call_later(max(0.0, limit) / 1000, self.expire, attempt)
         while server.idle:
             connection = server.idle.pop()
-            if not connection.transport.is_closing() and now - connection.idle_since < self.keep_idle:
+            idled = now - connection.idle_since
+            if not connection.transport.is_closing() and idled < self.keep_idle.ms:
+                connection.idled = idled
                 connection.start(attempt)
                 return
             connection.transport.close()
@@ -277,7 +333,8 @@
 
     def sweep(self) -> None:
         self.loop.call_later(SWEEP, self.sweep)
-        before = now_ms() - self.keep_idle
+        self.keep_idle.swept()
+        before = now_ms() - self.keep_idle.ms
         for server in self.servers.values():
             while server.idle and server.idle[0].idle_since < before:
                 server.idle.pop(0).transport.close()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,10 +13,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from badgercart import clients, discovery
+from badgercart import clients, discovery, servers
 from badgercart.clients import stable_id
 from badgercart.node import MARGIN
-from badgercart.servers import ServerConnection
+from badgercart.servers import IdleLimit, ServerConnection
 from cottonhall.interface import Outcome, Request, Result, Send, ServerList, State, Withdrawn
 from tests.net import (
     OK,
@@ -573,6 +573,42 @@
     run(test())
 
 
+def test_connections_that_servers_end_early_are_not_used_for_as_long(monkeypatch: pytest.MonkeyPatch) -> None:
+    clock = [1000.0]
+    monkeypatch.setattr(servers, "now_ms", lambda: clock[0])
+    last: dict[asyncio.StreamWriter, float] = {}
+
+    async def short_lived(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
+        if clock[0] - last.get(writer, clock[0]) > 100:
+            writer.transport.abort()
+        last[writer] = clock[0]
+        writer.write(OK)
+
+    async def test() -> None:
+        async with running(await Peer(short_lived).start()) as stand:
+            client, answers = await stand.client(), []
+            for _ in range(8):
+                answers += [(await client.ask(request("pay")))[0] for _ in range(8)]
+                clock[0] += 500
+            assert answers.count(502) == 3
+            assert answers[-24:] == [200] * 24
+
+    run(test())
+
+
+def test_resets_at_any_age_leave_the_idle_limit_and_old_ones_are_forgotten() -> None:
+    limit = IdleLimit(28000.0)
+    for step in range(400):
+        limit.note(10.0 if step % 2 else 70.0, reset=step % 20 < 2)
+    assert limit.ms == 28000.0
+    for _ in range(100):
+        limit.note(120.0, reset=True)
+    assert limit.ms <= 100.0
+    for _ in range(60):
+        limit.swept()
+    assert limit.ms == 28000.0
+
+
 def test_near_the_descriptor_limit_the_longest_idle_client_makes_room() -> None:
     async def test() -> None:
         async with running(await Peer().start(), sockets=96) as stand:
