--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,7 +13,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from badgercart import clients, discovery, servers
+from badgercart import clients, discovery, node, servers
 from badgercart.clients import stable_id
 from badgercart.node import MARGIN
 from badgercart.servers import IdleLimit, ServerConnection
@@ -575,7 +575,8 @@
 
 def test_connections_that_servers_end_early_are_not_used_for_as_long(monkeypatch: pytest.MonkeyPatch) -> None:
     clock = [1000.0]
-    monkeypatch.setattr(servers, "now_ms", lambda: clock[0])
+    for module in (clients, node, servers):
+        monkeypatch.setattr(module, "now_ms", lambda: clock[0])
     last: dict[asyncio.StreamWriter, float] = {}
 
     async def short_lived(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
