Weigh 'full' by how slow the answers are that come with it

A server that is full has a queue, so its answers are slow. 'full' now counts by how slow the server's own answers are, or the fleet's against their best, as long as the server has served something in the last 2 s.

Ruled out: servers that drain (they go on for 15 s and are listed as ready), and too many connections (they turn requests away on connections that they serve).

--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -73,6 +73,7 @@
     recent: float = 0.0  # our recent attempts, decayed
     slow: float = 1.0  # its answers' time over the usual for their class and its kind
     reached: float = 0.0  # when the latest of the attempts that it has answered was sent
+    served: float = -1e9  # when it last served one
 
     def held(self, now: float) -> list[tuple[float, float]]:
         """When each attempt that it holds was sent and is overdue; without those that it has lost.
@@ -417,17 +418,21 @@
         bad, health = result != Result.OK, server.health[cls]
         self.no_link += 0.1 * ((result == Result.UNREACHABLE) - self.no_link)
         # What loads no server is no overload: no connection made, an answer that was lost alone, an end
-        # sooner than the work takes, or a client that would wait for little longer than answers take.
+        # sooner than the work takes, a client that would wait for little longer than answers take, or 'full'
+        # from a server that has no queue: whom it does serve it serves as quickly as ever.
         lost = result == Result.TIMEOUT and sent < server.reached
         weight = float(result != Result.UNREACHABLE and not lost)
         if result in (Result.ERROR, Result.RESET):
             weight = min(1.0, 0.5 * outcome.elapsed / self.usual[cls])
+        elif result == Result.FULL and self.now - server.served < RATE_TIME:
+            weight = min(max(server.slow - 1.0, self.mean / (self.least or 1.0) - 1.0, 0.0), 1.0)
         elif result == Result.TIMEOUT:
             weight *= min(max(0.5 * ((job.request.due - sent) / self.usual[cls] - 1.0), 0.0), 1.0)
         self.seen += 1.0 - self.seen / REACH
         self.failed += weight * bad - self.failed / REACH
         self.errors = self.failed / (self.seen + PRIOR)
         if not bad:
+            server.served = self.now
             self.usual[cls] += (0.02 if self.x < 0.2 else 0.002) * (outcome.elapsed - self.usual[cls])
         if not bad or (result == Result.TIMEOUT and not lost):
             # How slow against its class, then its kind: few samples of one server, many of its kind.
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -346,6 +346,25 @@
     assert stage.policy.cut == 0.0
 
 
+def test_full_from_servers_without_a_queue_is_no_overload() -> None:
+    for wait, calm in ((10.0, True), (60.0, False)):
+        stage = Stage(settings(classes=(UNSAFE,)), servers=8)
+        worst = 0.0
+        for step in range(3000):
+            stage.now += 5
+            number, attempt = stage.request(), 0
+            while (number, attempt) in stage.open:
+                # Five of eight turn half of theirs away; where there is a queue, all do.
+                busy = (sent_to(stage)[-1] < 5 or not calm) and step > 1500
+                if busy and step % 2 and not attempt:
+                    stage.outcome(number, attempt, Result.FULL, 10.0)
+                else:
+                    stage.outcome(number, attempt, Result.OK, wait if busy else 10.0)
+                attempt += 1
+            worst = max(worst, stage.policy.errors)
+        assert (worst < 0.1) == calm, worst
+
+
 def test_the_search_for_an_idle_server_goes_past_a_busy_zone() -> None:
     near = [ServerEntry(number, 0, 0, 0, State.READY, 1.0, 0.0) for number in range(3)]
     far = [ServerEntry(number, 1, 0, 0, State.READY, 1.0, 0.0) for number in range(3, 9)]
