Call back artefacts whose answers are lost and ask again in their rack

At each upkeep, while x is 0 and answers are as quick as ever, an attempt that is overdue twice, or overdue with a later-sent one answered, is called back if another server may take the request and can; the outcome then leads to the next attempt as any other does. Never for builds, at most once for each attempt.

--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -105,6 +105,7 @@
     out: set[int] = field(default_factory=set)  # numbers of its attempts without an outcome
     maybe_ran: dict[int, tuple[float, ServerEntry]] = field(default_factory=dict)  # sends that may have run
     used: list[int] = field(default_factory=list)  # servers tried
+    called: set[int] = field(default_factory=set)  # attempts called back
 
 
 class Policy:
@@ -212,6 +213,12 @@
             self.measure_fleet()
         self.set_bands()
         self.set_cut(passed)
+        quick = (
+            self.x == 0 and self.mean < QUICK * self.least
+        )  # else the answer may be slow, and a repeat load
+        if self.settings.may_cancel and quick:
+            for server in self.servers.values():
+                self.call_back(server)
 
     def set_bands(self) -> None:
         """Scores: groups in order of worth, as wide as their share of offered worth; equals share a band."""
@@ -399,6 +406,28 @@
         else:
             self.attempt(job)
 
+    def call_back(self, server: Server) -> None:
+        """Where a repeat does no harm, stop waiting for answers that may never come, and ask another server.
+
+        They are overdue twice, or the server has answered what was sent after they were overdue.
+        """
+        for (number, attempt), (job, sent, late) in server.open.items():
+            gone = late < server.reached or 2 * late - sent < self.now
+            if gone and number in self.jobs and attempt not in job.called and self.elsewhere(job):
+                job.called.add(attempt)
+                self.out.append(Cancel(number, attempt))
+
+    def elsewhere(self, job: Job) -> bool:
+        """Whether another server can take a further attempt of a request that may have run."""
+        cls = job.request.cls
+        if self.settings.classes[cls].effect is Effect.UNSAFE or job.tries >= self.settings.max_attempts:
+            return False
+        others = (self.servers[i] for i in self.ready if i not in job.used)
+        return any(
+            self.allowed(job, other) and self.usable(other, other.health[cls], other.held(self.now))
+            for other in others
+        )
+
     def note_end(self, job: Job, outcome: Outcome) -> None:
         """What an attempt's end tells of whether its request ran, and whose turn is next."""
         job.out.discard(outcome.attempt)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -7,6 +7,8 @@
 import pytest
 
 from cottonhall.interface import (
+    Cancel,
+    Group,
     ListKind,
     Log,
     Outcome,
@@ -365,6 +367,27 @@
         assert (worst < 0.1) == calm, worst
 
 
+def test_a_lost_request_that_may_be_repeated_is_sent_elsewhere_in_its_cell() -> None:
+    for cls, other in ((replace(KEYED, group=Group.CELL), True), (UNSAFE, False)):
+        stage = Stage(settings(classes=(cls,)), servers=12)
+        for step in range(400):
+            stage.advance(2.0)
+            number = stage.request()
+            if (number, 0) in stage.open and step != 300:
+                stage.advance(4.0)
+                stage.outcome(number, 0, Result.OK, 4.0)
+            elif step == 300:
+                lost = number
+            called = [a for a in stage.log if isinstance(a, Cancel) and (a.id, a.attempt) in stage.open]
+            for action in called:
+                stage.outcome(action.id, action.attempt, Result.CANCELLED)
+            if (lost_again := (301, 1)) in stage.open:
+                stage.outcome(*lost_again, Result.OK, 4.0)
+        # The stage holds the repeat to the cell and the window.
+        assert len(stage.attempts[lost]) == (2 if other else 1)
+        assert (stage.answers.get(lost) == "served") == other
+
+
 def test_the_search_for_an_idle_server_goes_past_a_busy_zone() -> None:
     near = [ServerEntry(number, 0, 0, 0, State.READY, 1.0, 0.0) for number in range(3)]
     far = [ServerEntry(number, 1, 0, 0, State.READY, 1.0, 0.0) for number in range(3, 9)]
