Forget servers that are gone

Both now drop a server that the list calls gone, the module once it holds none of our attempts; an attempt under way keeps what it needs, and a server that comes back starts anew.

--- a/badgercart/servers.py
+++ b/badgercart/servers.py
@@ -270,6 +270,8 @@
             for connection in server.idle:
                 connection.transport.close()
             server.idle.clear()
+        if state is State.GONE:  # attempts under way know it; where servers come and go, nobody else must
+            self.servers.pop(server_id, None)
 
     def send(self, request_id: int, number: int, server_id: int, limit: float, message: Message) -> None:
         server = self.servers[server_id]
--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -528,6 +528,9 @@
                 self.note(replace(self.servers[server_id].entry, state=State.GONE))
         for entry in event.servers:
             self.note(entry)
+        # Where servers come and go all day, those that are gone must not be kept for ever.
+        known = self.servers.items()
+        self.servers = {i: s for i, s in known if s.entry.state is not State.GONE or s.open}
         self.measure_fleet()
 
     def measure_fleet(self) -> None:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -786,3 +786,15 @@
             stage.outcome(*next(iter(stage.open)), Result.UNREACHABLE, 5.0)
     assert stage.policy.cut == 0.0
     assert len(stage.attempts[number]) == 1
+
+
+def test_servers_that_are_gone_are_forgotten_once_they_hold_nothing() -> None:
+    stage = Stage(settings(classes=(UNSAFE,)), servers=1)
+    number = stage.request()
+    for name in range(1, 40):
+        stage.now += 100
+        stage.list([server(name - 1, State.GONE), server(name)])
+    assert set(stage.policy.servers) == {0, 39}
+    stage.outcome(number, 0, Result.OK)
+    stage.list([server(40)])
+    assert set(stage.policy.servers) == {39, 40}
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -172,6 +172,25 @@
     run(test())
 
 
+def test_servers_that_are_gone_are_forgotten_and_may_come_back() -> None:
+    async def test() -> None:
+        peer, other = await Peer().start(), await Peer().start()
+        async with running(peer) as stand:
+            client = await stand.client()
+            assert (await client.ask(request()))[0] == 200
+            stand.agent.push(2, [other.entry("s-2"), peer.entry("s-1", "left"), peer.entry("s-9", "left")])
+            while (await stand.event(ServerList)).version != 2:
+                pass
+            assert set(stand.node.pool.servers) == {stable_id(b"s-2")}
+            stand.agent.push(3, [peer.entry("s-1"), other.entry("s-2", "left")])
+            while (await stand.event(ServerList)).version != 3:
+                pass
+            assert (await client.ask(request()))[0] == 200
+            assert (peer.requests.qsize(), other.requests.qsize()) == (2, 0)
+
+    run(test())
+
+
 def test_a_connection_with_stray_bytes_is_not_used_again() -> None:
     async def test() -> None:
         peer = await Peer(answer(OK + OK)).start()
