--- a/badgercart/clients.py
+++ b/badgercart/clients.py
@@ -7,12 +7,12 @@
 from collections import deque
 from dataclasses import dataclass
 from hashlib import blake2b
-from http import HTTPStatus
 from typing import Protocol, cast
 
 import httptools
 
 from badgercart.config import Config
+from badgercart.framing import STATUS_LINES, hang_up
 from badgercart.servers import MAX_BODY, Message, now_ms
 from cottonhall.interface import Effect
 
@@ -21,7 +21,9 @@
 REQUEST_TIME = 2.0  # s that a client may take to send one request
 PROVE_TIME = 2.0  # s from its opening in which a connection must bring a proper request; 3 s are owed at most
 LOOK = 0.2  # s between looks for connections that have not
-LINGER = 1.0  # s to discard what still comes after an answer that ends the connection
+FRESH = (
+    0.3  # s from its opening in which a connection may bring its first request, also to a node that drains
+)
 HEALTH_PATH = b"/_health"
 
 _TIMEOUT = re.compile(rb"(\d{1,9}(?:\.\d{1,6})?)([mu])")
@@ -30,7 +32,6 @@
     (b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
      b"expect", b"content-length", b"request-timeout")
 )  # fmt: skip
-_STATUS_LINES = {s.value: f"HTTP/1.1 {s.value} {s.phrase}\r\nContent-Length: ".encode() for s in HTTPStatus}
 
 
 def stable_id(name: bytes) -> int:
@@ -67,8 +68,13 @@
 class Handler(Protocol):
     """What takes the requests."""
 
-    healthy: bool
-    stopping: bool
+    @property
+    def ready(self) -> bool:
+        """Whether the front may send clients here."""
+
+    @property
+    def draining(self) -> bool:
+        """Whether each connection ends with its last answer."""
 
     def take(self, client: ClientConnection, request: ClientRequest) -> None:
         """Take on a request and give the connection its number."""
@@ -86,7 +92,7 @@
         self.handler = handler
         self.limit = limit
         self.connections: set[ClientConnection] = set()
-        self.idle: dict[ClientConnection, None] = {}  # in order of how long they have been idle
+        self.idle: dict[ClientConnection, float] = {}  # and since when, in order of how long
         self.unproven: dict[ClientConnection, float] = {}  # no proper request yet; and when opened, in order
 
     async def start(self) -> asyncio.Server:
@@ -96,8 +102,7 @@
 
     def opened(self, client: ClientConnection) -> None:
         self.connections.add(client)
-        self.idle[client] = None
-        self.unproven[client] = self.loop.time()
+        self.idle[client] = self.unproven[client] = self.loop.time()
         if len(self.connections) <= self.limit:
             return
         # At the limit one makes room that has brought nothing of use; else, as between requests a close is
@@ -121,9 +126,13 @@
         before = self.loop.time() - PROVE_TIME
         for client in [client for client, opened in self.unproven.items() if opened < before]:
             client.give_up()
+        if self.handler.draining:
+            self.close_idle()
 
     def close_idle(self) -> None:
-        for client in list(self.idle):
+        """A client that sees its connection close comes back elsewhere. One just opened may yet ask."""
+        fresh = self.loop.time() - FRESH
+        for client in [client for client in self.idle if self.unproven.get(client, 0.0) < fresh]:
             client.close()
 
     def check(
@@ -363,7 +372,7 @@
                 handler.take(self, item)
             elif isinstance(item, BadRequest):
                 self.answer(item.status, extra=item.extra)
-            elif handler.healthy and not handler.stopping:
+            elif handler.ready:
                 self.answer(200, b"ok\n", b"text/plain")
             else:
                 self.answer(503)
@@ -374,9 +383,9 @@
     def answer(self, status: int, body: bytes = b"", content_type: bytes = b"", extra: bytes = b"") -> None:
         """Write the final answer to the request under way."""
         self.request_id = 0
-        # A node that stops still owes an answer to what it has read: the connection ends with the last.
-        keep = self.keep and (bool(self.waiting) or not self.listener.handler.stopping)
-        lines = b"%b%d\r\n%b" % (_STATUS_LINES[status], len(body), extra)
+        # A node that drains still owes an answer to what it has read: the connection ends with the last.
+        keep = self.keep and (bool(self.waiting) or not self.listener.handler.draining)
+        lines = b"%b%d\r\n%b" % (STATUS_LINES[status], len(body), extra)
         if content_type:
             lines += b"Content-Type: %b\r\n" % content_type
         self.transport.write(b"%b%b\r\n%b" % (lines, b"" if keep else b"Connection: close\r\n", body))
@@ -391,17 +400,13 @@
             self.paused = False
             self.transport.resume_reading()
         if not self.reading and not self.ended:
-            self.listener.idle[self] = None
+            self.listener.idle[self] = self.listener.loop.time()
 
     def end(self) -> None:
-        """After the last answer: a plain close with bytes unread would reset the connection under it."""
+        """After the last answer."""
         self.ended = True
         self.waiting.clear()
         if self.paused:
             self.paused = False
             self.transport.resume_reading()
-        if not self.transport.is_closing() and self.transport.can_write_eof():
-            self.transport.write_eof()
-            self.listener.loop.call_later(LINGER, self.transport.abort)
-        else:
-            self.transport.close()
+        hang_up(self.listener.loop, self.transport)
--- a/badgercart/config.py
+++ b/badgercart/config.py
@@ -24,6 +24,7 @@
     name: str
     listen: Address
     discovery: Address
+    admin: Address | None  # where operators call; None: nowhere
     seed: int
     sockets: int  # file descriptors that the process may hold
     known: dict[str, Any]  # the server list as this node last had it; empty: none
@@ -65,10 +66,12 @@
         raw = json.loads(Path(path).read_bytes())
         settings = raw["settings"]
         allowed = settings["Allowed"]
+        admin = environ.get("ROUTER_ADMIN_ADDR") or raw.get("admin_addr")
         return Config(
             name=str(environ.get("ROUTER_NAME") or raw["name"]),
             listen=parse_address(environ.get("ROUTER_LISTEN") or raw["listen"]),
             discovery=parse_address(environ.get("ROUTER_DISCOVERY") or raw["discovery"]),
+            admin=parse_address(admin) if admin else None,
             seed=int(raw["seed"], 16),
             sockets=int(raw["limits"]["sockets"]),
             known=dict(raw.get("known") or {}),
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from badgercart.admin import Door, Reply
 from badgercart.clients import ClientConnection, ClientRequest, Listener, stable_id
 from badgercart.config import Address, Config, parse_address
 from badgercart.discovery import Discovery
@@ -73,8 +74,10 @@
         self.last_id = 0
         self.events: deque[Event] = deque()
         self.handling = False
-        self.healthy = self.stopping = False
+        self.healthy = False  # a list has come
+        self.quiesced = self.stopping = False  # the two ways to drain: by hand, and for good
         self.server: asyncio.Server | None = None
+        self.door: asyncio.Server | None = None
         self.watch: asyncio.Task[None] | None = None
         self.listed: set[int] = set()  # servers in the list
         # A third for servers: few requests are in flight at once, but clients keep what they have opened.
@@ -223,10 +226,52 @@
         )
         return entry, parse_address(line["hostPort"]), name
 
+    # From operators.
+
+    def calls(self) -> dict[bytes, tuple[bytes, Callable[[bytes], Reply]]]:
+        return {
+            b"/admin/health": (b"GET", self.tell_health),
+            b"/admin/quiesce": (b"POST", self.quiesce),
+            b"/admin/resume": (b"POST", self.resume),
+        }
+
+    @property
+    def draining(self) -> bool:
+        return self.quiesced or self.stopping
+
+    @property
+    def ready(self) -> bool:
+        return self.healthy and not self.draining
+
+    def tell_health(self, _: bytes) -> Reply:
+        if self.ready:
+            return 200, "ready"
+        if self.stopping:
+            return 503, "stopping"
+        return 503, "quiesced" if self.quiesced else "no list of servers yet"
+
+    def quiesce(self, _: bytes) -> Reply:
+        """Empty the node: its clients come back elsewhere. What is held and what still comes is served."""
+        if not self.quiesced:
+            self.quiesced = True
+            log.info("quiesced: %d requests held", len(self.held))
+            self.listener.close_idle()
+        return 200, "quiesced"
+
+    def resume(self, _: bytes) -> Reply:
+        if self.stopping:
+            return 409, "stopping: there is no way back"
+        if self.quiesced:
+            self.quiesced = False
+            log.info("resumed")
+        return 200, "resumed"
+
     # Start and stop.
 
     async def start(self) -> None:
         self.server = await self.listener.start()
+        if self.config.admin is not None:
+            self.door = await Door(self.loop, self.calls()).start(self.config.admin)
         self.watch = self.loop.create_task(self.discovery.run())
         log.info("%s listens on %s:%d", self.config.name, *self.server.sockets[0].getsockname()[:2])
 
@@ -244,7 +289,6 @@
         """Take what still comes, answer all that is held, then end."""
         self.stopping = True
         log.info("stopping: %d requests held", len(self.held))
-        # A client that has been told the connection closes, or sees it close, comes back elsewhere.
         self.listener.close_idle()
         await asyncio.sleep(ACCEPT_FOR)
         assert self.server is not None
@@ -258,7 +302,8 @@
         log.info("stopped")
 
     def close(self) -> None:
-        if self.server is not None:
-            self.server.close()
+        for server in (self.server, self.door):
+            if server is not None:
+                server.close()
         if self.watch is not None:
             self.watch.cancel()
--- a/tests/net.py
+++ b/tests/net.py
@@ -174,6 +174,7 @@
         "name": "n0",
         "listen": ("127.0.0.1", 0),
         "discovery": ("127.0.0.1", discovery),
+        "admin": None,
         "seed": 1,
         "sockets": 1024,
         "known": {},
@@ -215,6 +216,17 @@
         event: Outcome = await self.event(Outcome)
         return event
 
+    async def call(self, method: str, path: str, body: bytes = b"") -> tuple[int, str]:
+        """One call at the operators' door: status and text."""
+        caller = await self.caller()
+        head = f"{method} /admin/{path} HTTP/1.1\r\nHost: n0\r\nContent-Length: {len(body)}\r\n\r\n"
+        status, _, text = await caller.ask(head.encode() + body)
+        return status, text.decode()
+
+    async def caller(self) -> Client:
+        assert self.node.door is not None
+        return Client(*await asyncio.open_connection(*self.node.door.sockets[0].getsockname()))
+
     async def client(self) -> Client:
         assert self.node.server is not None
         return Client(*await asyncio.open_connection(*self.node.server.sockets[0].getsockname()))
--- /dev/null
+++ b/tests/test_admin.py
@@ -0,0 +1,171 @@
+"""The operators' door over loopback sockets: who is answered, and what each call does."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from badgercart import admin, clients
+from tests.net import WAIT, Peer, answer_ok, field, request, running
+from tests.test_node import run
+
+DOOR = ("127.0.0.1", 0)
+HEALTH = b"GET /_health HTTP/1.1\r\n\r\n"
+
+
+async def until(holds: Any) -> None:
+    async with asyncio.timeout(WAIT):
+        while not holds():
+            await asyncio.sleep(0.01)
+
+
+def test_without_an_address_there_is_no_door() -> None:
+    async def test() -> None:
+        async with running(await Peer().start()) as stand:
+            assert stand.node.door is None
+
+    run(test())
+
+
+def call(start: bytes, *lines: bytes, body: bytes = b"") -> bytes:
+    return b"\r\n".join((start, b"Host: n0", *lines, b"", body))
+
+
+REFUSED = [
+    (call(b"GET /admin/nothing HTTP/1.1"), 404),
+    (call(b"GET /find/1 HTTP/1.1"), 404),
+    (call(b"DELETE /admin/health HTTP/1.1"), 405),
+    (call(b"GET /admin/quiesce HTTP/1.1"), 405),
+    (call(b"GET /admin/health HTTP/1.1", b"Content-Length: 1", body=b"x"), 400),
+    (call(b"POST /admin/quiesce HTTP/1.1", b"Content-Length: 1", b"Transfer-Encoding: chunked"), 400),
+    (call(b"GET /admin/health HTTP/1.1", b"Connection: upgrade", b"Upgrade: h2c"), 400),
+    (call(b"POST /admin/quiesce HTTP/1.1", b"Content-Length: 9000", body=bytes(9000)), 413),
+    (call(b"GET /admin/health HTTP/1.1", b"X: " + b"a" * 9000), 431),
+    (b"GET /" + b"a" * 9000, 431),
+    (b"nonsense\r\n\r\n", 400),
+]
+
+
+@pytest.mark.parametrize(("data", "status"), REFUSED, ids=range(len(REFUSED)))
+def test_a_bad_call_gets_the_fitting_no(data: bytes, status: int) -> None:
+    async def test() -> None:
+        async with running(await Peer().start(), admin=DOOR) as stand:
+            caller = await stand.caller()
+            got, head, body = await caller.ask(data)
+            assert (got, field(head, b"Connection")) == (status, b"close")
+            assert body.endswith(b"\n") and b"Traceback" not in body
+            assert await caller.end() == b""
+            assert await stand.call("GET", "health") == (200, "ready\n")
+
+    run(test())
+
+
+def test_a_call_that_fails_is_answered_and_logged(caplog: pytest.LogCaptureFixture) -> None:
+    def broken(_: bytes) -> admin.Reply:
+        raise RuntimeError("broken on purpose")
+
+    status, text, _ = admin.Door(asyncio.new_event_loop(), {b"/admin/x": (b"POST", broken)}).reply(
+        b"POST", b"/admin/x", b""
+    )
+    assert status == 500 and "broken" not in text
+    assert "broken on purpose" in caplog.text
+
+
+def test_callers_that_stall_starve_nobody_and_are_told_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(admin, "CALL_TIME", 0.3)
+
+    async def test() -> None:
+        async with running(await Peer().start(), admin=DOOR) as stand:
+            stalled = [await stand.caller() for _ in range(3 * admin.MAX_CALLERS)]
+            for caller in stalled[::2]:
+                caller.writer.write(b"POST /admin/quiesce HTTP/1.1\r\nContent-Le")
+            assert await stand.call("GET", "health") == (200, "ready\n")
+            for caller in stalled:
+                assert (await caller.answer())[0] == 408
+                assert await caller.end() == b""
+
+    run(test())
+
+
+def test_a_call_may_come_in_pieces_and_only_the_first_on_a_connection_counts() -> None:
+    async def test() -> None:
+        async with running(await Peer().start(), admin=DOOR) as stand:
+            caller = await stand.caller()
+            data = call(b"GET /admin/health HTTP/1.1") + call(b"POST /admin/quiesce HTTP/1.1")
+            for i in range(len(data)):
+                caller.writer.write(data[i : i + 1])
+                await asyncio.sleep(0)
+            assert (await caller.answer())[0] == 200
+            assert await caller.end() == b""
+            assert not stand.node.quiesced
+
+    run(test())
+
+
+def test_health_at_the_door_waits_for_a_list() -> None:
+    async def test() -> None:
+        async with running(admin=DOOR, known={}) as stand:
+            stand.node.healthy = False  # as before the first list
+            assert (await stand.call("GET", "health"))[0] == 503
+
+    run(test())
+
+
+def test_quiesce_empties_the_node_and_loses_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "FRESH", 0.1)
+    release = asyncio.Event()
+
+    async def held_back(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
+        await release.wait()
+        await answer_ok(peer, head, writer)
+
+    async def test() -> None:
+        peer = await Peer(held_back).start()
+        async with running(peer, admin=DOOR) as stand:
+            idle, holder = await stand.client(), await stand.client()
+            release.set()
+            assert (await idle.ask(request()))[0] == 200
+            release.clear()
+            holder.writer.write(request())
+            await until(lambda: len(stand.node.held) == 1)
+            assert (await stand.call("POST", "quiesce"))[0] == 200
+            assert (await stand.call("POST", "quiesce"))[0] == 200
+            assert await idle.end() == b""  # closed though nothing was asked
+            late = await stand.client()  # before the front has turned away
+            late.writer.write(request())
+            await until(lambda: len(stand.node.held) == 2)
+            silent = await stand.client()
+            assert (await (await stand.client()).ask(HEALTH))[0] == 503
+            assert (await stand.call("GET", "health"))[0] == 503
+            assert await silent.end() == b""  # one that brings nothing is not held
+            release.set()
+            for waiting in (holder, late):
+                status, head, _ = await waiting.answer()
+                assert (status, field(head, b"Connection")) == (200, b"close")
+                assert await waiting.end() == b""
+            await until(lambda: not stand.node.listener.connections)
+            assert (await stand.call("POST", "resume"))[0] == 200
+            assert (await stand.call("POST", "resume"))[0] == 200
+            assert await stand.call("GET", "health") == (200, "ready\n")
+            back = await stand.client()
+            assert (await back.ask(HEALTH))[0] == 200
+            assert field((await back.ask(request()))[1], b"Connection") is None
+
+    run(test())
+
+
+def test_sigterm_ends_a_quiesced_node_and_leaves_no_way_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("badgercart.node.ACCEPT_FOR", 0.3)
+
+    async def test() -> None:
+        async with running(await Peer().start(), admin=DOOR) as stand:
+            assert (await stand.call("POST", "quiesce"))[0] == 200
+            drain = asyncio.ensure_future(stand.node.drain())
+            await until(lambda: stand.node.stopping)
+            assert (await stand.call("POST", "resume"))[0] == 409
+            assert (await stand.call("GET", "health"))[0] == 503
+            await asyncio.wait_for(drain, WAIT)
+
+    run(test())
