--- a/badgercart/clients.py
+++ b/badgercart/clients.py
@@ -135,6 +135,12 @@
         for client in [client for client in self.idle if self.unproven.get(client, 0.0) < fresh]:
             client.close()
 
+    def waiting(self) -> int:
+        """Requests that have come and wait behind others on their connections."""
+        return sum(
+            isinstance(item, ClientRequest) for client in self.connections for item, _ in client.waiting
+        )
+
     def check(
         self, parser: httptools.HttpRequestParser, url: bytes, headers: Headers
     ) -> tuple[int, int, int]:
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -20,6 +20,7 @@
 from badgercart.clients import ClientConnection, ClientRequest, Listener, stable_id
 from badgercart.config import Address, Config, parse_address
 from badgercart.discovery import Discovery
+from badgercart.figures import Figures
 from badgercart.servers import Answer, Attempt, Message, ServerPool, now_ms
 from cottonhall import Policy
 from cottonhall.interface import (
@@ -60,6 +61,7 @@
 
     client: ClientConnection
     message: Message
+    cls: int
     due: float
     sends: int = 0
 
@@ -82,7 +84,10 @@
         self.listed: set[int] = set()  # servers in the list
         # A third for servers: few requests are in flight at once, but clients keep what they have opened.
         room = max(config.sockets - SPARE_SOCKETS, 30)
-        self.pool = ServerPool(loop, config.dial_timeout, config.idle_timeout, room // 3, self.attempt_ended)
+        self.figures = Figures(name.decode("latin-1") for name in config.classes)
+        self.pool = ServerPool(
+            loop, config.dial_timeout, config.idle_timeout, room // 3, self.attempt_ended, self.figures
+        )
         self.listener = Listener(loop, config, self, room - room // 3)
         self.discovery = Discovery(config.discovery, self.take_list, random.Random(config.seed))
         self.perform: dict[type[Action], Callable[[Any], None]] = {
@@ -141,6 +146,7 @@
     def answer(self, request_id: int, status: int, extra: bytes = b"") -> None:
         held = self.held.pop(request_id, None)
         if held is not None:
+            self.figures.ended(held.cls, status)
             held.client.answer(status, extra=extra)
 
     def cancel(self, action: Cancel) -> None:
@@ -162,7 +168,7 @@
         self.last_id += 1
         request_id = client.request_id = self.last_id
         due = request.sent + request.timeout - MARGIN
-        self.held[request_id] = Held(client, request.message, due)
+        self.held[request_id] = Held(client, request.message, request.cls, due)
         cls, key, tenant = request.cls, request.key, request.tenant
         self.tell(Request(request_id, cls, due, key, tenant, request.hint, request.repeat))
 
@@ -175,6 +181,7 @@
     def attempt_ended(self, attempt: Attempt, result: Result, answer: Answer | None) -> None:
         request_id = attempt.request_id
         if result is Result.OK and answer is not None and (held := self.held.pop(request_id, None)):
+            self.figures.ended(held.cls, 200)
             held.client.answer(200, answer.body, answer.content_type)
         over, elapsed = request_id not in self.held, now_ms() - attempt.started
         self.tell(Outcome(request_id, attempt.server.id, over, result, attempt.number, elapsed))
@@ -231,6 +238,7 @@
     def calls(self) -> dict[bytes, tuple[bytes, Callable[[bytes], Reply]]]:
         return {
             b"/admin/health": (b"GET", self.tell_health),
+            b"/admin/stats": (b"GET", self.report),
             b"/admin/quiesce": (b"POST", self.quiesce),
             b"/admin/resume": (b"POST", self.resume),
         }
@@ -250,6 +258,15 @@
             return 503, "stopping"
         return 503, "quiesced" if self.quiesced else "no list of servers yet"
 
+    def report(self, _: bytes) -> Reply:
+        avoided = self.listed & self.policy.avoided(now_ms())
+        gauges = {
+            "outstanding": len(self.held) + self.listener.waiting(),
+            "discovered": len(self.listed),
+            "ejected": len(avoided),
+        }
+        return 200, self.figures.lines(gauges)
+
     def quiesce(self, _: bytes) -> Reply:
         """Empty the node: its clients come back elsewhere. What is held and what still comes is served."""
         if not self.quiesced:
--- a/badgercart/servers.py
+++ b/badgercart/servers.py
@@ -13,6 +13,7 @@
 import httptools
 
 from badgercart.config import Address
+from badgercart.figures import Figures
 from cottonhall.interface import Result, State
 
 MAX_BODY = 65536
@@ -156,6 +157,7 @@
         left = max(1, int(attempt.deadline - now_ms()))
         message = attempt.message
         self.transport.write(b"%bRequest-Timeout: %dm\r\n\r\n%b" % (message.head, left, message.body))
+        self.pool.figures.forwards += 1
 
     def data_received(self, data: bytes) -> None:
         if self.attempt is None:  # nothing was asked: what comes next on it could pass for an answer
@@ -246,12 +248,14 @@
         idle_timeout: float,
         max_connections: int,
         on_end: Callable[[Attempt, Result, Answer | None], None],
+        figures: Figures,
     ) -> None:
         self.loop = loop
         self.dial_timeout = dial_timeout
         self.keep_idle = IdleLimit(max(idle_timeout - IDLE_MARGIN, idle_timeout / 2))
         self.max_connections = max_connections
         self.on_end = on_end
+        self.figures = figures
         self.servers: dict[int, Server] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.connections: set[ServerConnection] = set()
--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -511,6 +511,11 @@
             job.turn.line.remove(job)
             self.moved.append(job.turn)
 
+    def avoided(self, now: float) -> set[int]:
+        """The servers that get nothing now: those that rest for every class."""
+        servers = self.servers.items()
+        return {i for i, s in servers if all(health.rest_until > now for health in s.health)}
+
     # The server list.
 
     def on_list(self, event: ServerList) -> None:
--- /dev/null
+++ b/tests/test_figures.py
@@ -0,0 +1,124 @@
+"""The figures at the operators' door against what clients and servers saw."""
+
+from __future__ import annotations
+
+import asyncio
+
+from badgercart.figures import Figures
+from cottonhall.interface import ListKind, ServerList
+from cottonhall.rules import Policy
+from tests.net import CLASSES, OK, Peer, Stand, answer, hang_up, request, running
+from tests.support import server, settings
+from tests.test_admin import DOOR, until
+from tests.test_node import run
+
+
+async def stats(stand: Stand) -> dict[str, int]:
+    status, text = await stand.call("GET", "stats")
+    assert status == 200
+    found = {}
+    for line in text.splitlines():
+        name, _, value = line.partition(":")
+        value, _, kind = value.partition("|")
+        assert kind == ("g" if name.split(".")[-1] in ("outstanding", "discovered", "ejected") else "c")
+        assert name.startswith("edge_router.") and name not in found
+        found[name.removeprefix("edge_router.")] = int(value)
+    return found
+
+
+def test_every_figure_of_the_page_is_there_from_the_start() -> None:
+    async def test() -> None:
+        async with running(await Peer().start(), await Peer().start(), admin=DOOR) as stand:
+            zero = {f"results.{c}.{o}": 0 for c in CLASSES for o in ("succeeded", "declined", "aborted")}
+            gauges = {"outstanding": 0, "discovered": 2, "ejected": 0}
+            assert await stats(stand) == zero | gauges | {"forwards": 0}
+
+    run(test())
+
+
+def test_the_lines_are_in_statsd_form() -> None:
+    figures = Figures(["find"])
+    for status in (200, 503, 429, 502, 500):
+        figures.ended(0, status)
+    assert figures.lines({"outstanding": 14}).splitlines() == [
+        "edge_router.results.find.succeeded:1|c",
+        "edge_router.results.find.declined:2|c",
+        "edge_router.results.find.aborted:2|c",
+        "edge_router.forwards:0|c",
+        "edge_router.outstanding:14|g",
+    ]
+
+
+def test_outcomes_count_once_for_their_class_and_attempts_each() -> None:
+    full = answer(b"HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n")
+
+    async def test() -> None:
+        peers = [await Peer().start(), await Peer(full).start()]
+        async with running(*peers, attempts=3, admin=DOOR) as stand:
+            client = await stand.client()
+            for _ in range(8):
+                assert (await client.ask(request("book")))[0] == 200
+            for peer in peers:
+                peer.script = hang_up
+            assert (await client.ask(request("pay")))[0] == 502
+            for peer in peers:
+                peer.script = full
+            assert (await client.ask(request("find")))[0] == 503
+            assert (await client.ask(request(Request_ID="twice")))[0] == 400  # improper: counts nowhere
+            found = await stats(stand)
+            assert found["results.book.succeeded"] == 8
+            assert found["results.pay.aborted"] == 1
+            assert found["results.find.declined"] == 1
+            assert sum(n for name, n in found.items() if name.startswith("results.")) == 10
+            assert found["forwards"] == sum(peer.requests.qsize() for peer in peers) > 10
+
+    run(test())
+
+
+def test_what_is_held_or_waits_its_turn_is_outstanding_until_it_ends() -> None:
+    release = asyncio.Event()
+
+    async def held_back(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
+        await release.wait()
+        writer.write(OK)
+
+    async def test() -> None:
+        peer = await Peer(held_back).start()
+        async with running(peer, admin=DOOR) as stand:
+            client, leaver = await stand.client(), await stand.client()
+            client.writer.write(request() * 3)
+            leaver.writer.write(request())
+            await until(lambda: len(stand.node.held) == 2)
+            assert (await stats(stand))["outstanding"] == 4
+            leaver.writer.close()
+            await until(lambda: len(stand.node.held) == 1)
+            assert (await stats(stand))["outstanding"] == 3
+            release.set()
+            for _ in range(3):
+                assert (await client.answer())[0] == 200
+            found = await stats(stand)
+            assert (found["outstanding"], found["results.find.succeeded"]) == (0, 3)
+
+    run(test())
+
+
+def test_servers_are_discovered_while_listed() -> None:
+    async def test() -> None:
+        peers = [await Peer().start() for _ in range(3)]
+        async with running(*peers, admin=DOOR) as stand:
+            stand.agent.push(2, [peers[0].entry("s-1", "leaving"), peers[1].entry("s-2", "left")])
+            while (await stand.event(ServerList)).version != 2:
+                pass
+            assert (await stats(stand))["discovered"] == 2
+
+    run(test())
+
+
+def test_a_server_that_rests_for_every_class_is_avoided_and_one_that_serves_some_is_not() -> None:
+    policy = Policy(settings(), 1)
+    policy.handle(0.0, ServerList(ListKind.CACHED, 1, [server(i) for i in range(8)]))
+    for cls, health in enumerate(policy.servers[3].health):
+        assert not policy.avoided(10.0)
+        health.rest_until = 100.0 + cls
+    assert policy.avoided(10.0) == {3}
+    assert not policy.avoided(100.0)
