--- a/badgercart/config.py
+++ b/badgercart/config.py
@@ -25,6 +25,7 @@
     listen: Address
     discovery: Address
     admin: Address | None  # where operators call; None: nowhere
+    shared: Path | None  # the folder that a successor shares; None: there is none
     seed: int
     sockets: int  # file descriptors that the process may hold
     known: dict[str, Any]  # the server list as this node last had it; empty: none
@@ -72,6 +73,7 @@
             listen=parse_address(environ.get("ROUTER_LISTEN") or raw["listen"]),
             discovery=parse_address(environ.get("ROUTER_DISCOVERY") or raw["discovery"]),
             admin=parse_address(admin) if admin else None,
+            shared=Path(environ["TMPDIR"]) if admin and environ.get("TMPDIR") else None,
             seed=int(raw["seed"], 16),
             sockets=int(raw["limits"]["sockets"]),
             known=dict(raw.get("known") or {}),
--- /dev/null
+++ b/badgercart/handover.py
@@ -0,0 +1,187 @@
+"""What the processes of one node share during an upgrade, in a folder that they both have.
+
+A file holds what operators have said of the servers; it is replaced whole, under a lock. Beside it each
+process holds a lock on a file of its own: while another's is locked, the node is two processes.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import json
+import logging
+import math
+import os
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+
+MAX_FILE = 1 << 20  # bytes; what is larger was not written here
+LOCK_TIME = 0.1  # s to wait for the lock: whoever holds it needs far less
+
+log = logging.getLogger("badgercart")
+
+
+@dataclass(slots=True, frozen=True)
+class Shared:
+    """What operators have said, by the servers' names."""
+
+    cordoned: frozenset[str] = frozenset()
+    returned: dict[str, float] = field(default_factory=dict)  # Unix time in ms of the call back
+
+    def without(self, name: str) -> Shared:
+        """The server is taken out."""
+        returned = {other: at for other, at in self.returned.items() if other != name}
+        return Shared(self.cordoned | {name}, returned)
+
+    def with_back(self, name: str, at: float, forget: float) -> Shared:
+        """The server is called back. Returns before `forget` no longer matter."""
+        returned = {other: when for other, when in self.returned.items() if when > forget}
+        return Shared(self.cordoned - {name}, returned | {name: at})
+
+    def to_json(self) -> bytes:
+        return json.dumps({"cordoned": sorted(self.cordoned), "returned": self.returned}).encode()
+
+    @classmethod
+    def from_json(cls, data: bytes) -> Shared:
+        """ValueError at anything but what to_json writes."""
+        raw = json.loads(data)
+        if not isinstance(raw, dict) or raw.keys() != {"cordoned", "returned"}:
+            raise ValueError("not an object with cordoned and returned")
+        cordoned, returned = raw["cordoned"], raw["returned"]
+        if not isinstance(cordoned, list) or not all(isinstance(name, str) for name in cordoned):
+            raise ValueError("cordoned is no list of names")
+        if not isinstance(returned, dict) or not all(
+            isinstance(at, int | float) and math.isfinite(at) for at in returned.values()
+        ):
+            raise ValueError("returned holds no times by name")
+        return cls(frozenset(cordoned), returned)
+
+
+class Handover:
+    """This process's part in it. Without a folder it keeps what is said to itself."""
+
+    def __init__(self, folder: Path | None, name: str, on_change: Callable[[Shared, Shared], None]) -> None:
+        self.on_change = on_change  # gets what held before and what holds now
+        self.shared = Shared()
+        self.others = False  # another process of the node runs
+        self.stamp: tuple[int, int] | None = None  # of the file as last read
+        self.folder = folder
+        stem = "badgercart-" + name.encode().hex()
+        self.stem = stem + "."
+        self.presence: int | None = None  # descriptor of the own lock
+        if folder is not None:
+            self.file, self.lock = folder / f"{stem}.json", folder / f"{stem}.lock"
+            self.own = folder / f"{stem}.{os.getpid()}-{time.monotonic_ns()}.alive"
+
+    def start(self) -> None:
+        if self.folder is None:
+            return
+        try:
+            with self.locked():
+                for path in self.presences():
+                    if not held(path):  # its process was killed
+                        path.unlink(missing_ok=True)
+                self.presence = os.open(self.own, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+                fcntl.flock(self.presence, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            log.warning("%s: %s; a successor will not see this process", self.folder, error)
+        self.look()
+
+    def close(self) -> None:
+        if self.presence is not None:
+            self.own.unlink(missing_ok=True)
+            os.close(self.presence)
+            self.presence = None
+
+    def look(self) -> None:
+        """Take up what another process has written, and see whether one runs."""
+        if self.folder is None:
+            return
+        try:
+            self.others = any(held(path) for path in self.presences())
+        except OSError as error:
+            log.warning("%s: %s", self.folder, error)
+        self.take()
+
+    def change(self, edit: Callable[[Shared], Shared]) -> None:
+        """Keep a change, then let it hold. OSError, and nothing changed, if it can't be kept."""
+        if self.folder is None:
+            self.hold(edit(self.shared))
+            return
+        with self.locked():
+            self.take()
+            shared = edit(self.shared)
+            new = self.file.with_suffix(".new")
+            new.write_bytes(shared.to_json())
+            new.replace(self.file)
+            self.stamp = self.read_stamp()
+        self.hold(shared)
+
+    def hold(self, shared: Shared) -> None:
+        before, self.shared = self.shared, shared
+        if shared != before:
+            self.on_change(before, shared)
+
+    def take(self) -> None:
+        stamp = self.read_stamp()
+        if stamp is None or stamp == self.stamp:
+            return
+        self.stamp = stamp
+        try:
+            with self.file.open("rb") as file:
+                data = file.read(MAX_FILE + 1)
+            if len(data) > MAX_FILE:
+                raise ValueError("over the limit")
+            shared = Shared.from_json(data)
+        except (OSError, ValueError, RecursionError) as error:
+            log.warning("%s: %s; what held before holds on", self.file, error)
+            return
+        self.hold(shared)
+
+    def read_stamp(self) -> tuple[int, int] | None:
+        try:
+            status = self.file.stat()
+        except OSError:
+            return None
+        return status.st_mtime_ns, status.st_ino
+
+    def presences(self) -> list[Path]:
+        assert self.folder is not None
+        names = [
+            name for name in os.listdir(self.folder) if name.startswith(self.stem) and name.endswith(".alive")
+        ]
+        return [self.folder / name for name in names if name != self.own.name]
+
+    @contextmanager
+    def locked(self) -> Iterator[None]:
+        """Alone among the node's processes. A holder that hangs must not hang this one too."""
+        descriptor = os.open(self.lock, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        try:
+            end = time.monotonic() + LOCK_TIME
+            while True:
+                with suppress(BlockingIOError):
+                    fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+                    break
+                if time.monotonic() > end:
+                    raise TimeoutError("the lock is held by another process")
+                time.sleep(0.002)
+            yield
+        finally:
+            os.close(descriptor)
+
+
+def held(path: Path) -> bool:
+    """Whether the process whose lock this is runs."""
+    try:
+        descriptor = os.open(path, os.O_RDWR | os.O_CLOEXEC)
+    except FileNotFoundError:
+        return False
+    try:
+        fcntl.flock(descriptor, fcntl.LOCK_SH | fcntl.LOCK_NB)
+    except BlockingIOError:
+        return True
+    finally:
+        os.close(descriptor)
+    return False
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -21,11 +21,13 @@
 from badgercart.config import Address, Config, parse_address
 from badgercart.discovery import Discovery
 from badgercart.figures import Figures
+from badgercart.handover import Handover, Shared
 from badgercart.servers import Answer, Attempt, Message, ServerPool, now_ms
 from cottonhall import Policy
 from cottonhall.interface import (
     Action,
     Cancel,
+    Cordon,
     Event,
     Fail,
     ListKind,
@@ -40,6 +42,7 @@
     State,
     Subscribe,
     Timer,
+    Uncordon,
     Wake,
     Withdrawn,
 )
@@ -49,6 +52,7 @@
 MARGIN = 10.0
 SPARE_SOCKETS = 64  # descriptors for the listener, discovery, files, and connections that are closing
 ACCEPT_FOR = 0.6  # s after SIGTERM during which new connections are accepted
+SHARED_LOOK = 0.1  # s between looks at what another process of this node has written
 DRAIN_LOOK = 0.02  # s between looks whether all clients are answered
 STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
 
@@ -99,6 +103,9 @@
             Log: self.log,
             Subscribe: self.subscribe,
         }
+        self.handover = Handover(config.shared, config.name, self.take_shared)
+        if config.admin is not None:
+            self.handover.start()  # before the list: who is out must not be sent anything
         if config.known.get("instances"):
             try:
                 self.discovery.version = self.take_list(config.known, ListKind.CACHED)
@@ -239,6 +246,8 @@
         return {
             b"/admin/health": (b"GET", self.tell_health),
             b"/admin/stats": (b"GET", self.report),
+            b"/admin/cordon": (b"POST", self.cordon),
+            b"/admin/uncordon": (b"POST", self.uncordon),
             b"/admin/quiesce": (b"POST", self.quiesce),
             b"/admin/resume": (b"POST", self.resume),
         }
@@ -267,6 +276,52 @@
         }
         return 200, self.figures.lines(gauges)
 
+    def cordon(self, body: bytes) -> Reply:
+        return self.change_shared(body, "cordoned", lambda shared, name: shared.without(name))
+
+    def uncordon(self, body: bytes) -> Reply:
+        now = time.time() * 1000
+        forget = now - self.config.settings.ramp_time
+
+        def edit(shared: Shared, name: str) -> Shared:
+            return shared.with_back(name, now, forget) if name in shared.cordoned else shared
+
+        return self.change_shared(body, "serves again", edit)
+
+    def change_shared(self, body: bytes, done: str, edit: Callable[[Shared, str], Shared]) -> Reply:
+        try:
+            name = body.decode().strip()
+        except UnicodeDecodeError:
+            return 400, "the body is no server's id"
+        if not name:
+            return 400, "the body must be a server's id"
+        self.handover.look()  # the other process may have been called first
+        # One that restarts may be missing from the list just now: who is out is known all the same.
+        if stable_id(name.encode()) not in self.listed and name not in self.handover.shared.cordoned:
+            return 404, f"no server {name} is listed"
+        try:
+            self.handover.change(lambda shared: edit(shared, name))
+        except OSError as error:
+            log.warning("%s: not %s: %s", name, done, error)
+            return 503, f"not kept, so not done: {error}"
+        return 200, f"{name} {done}"
+
+    def take_shared(self, before: Shared, shared: Shared) -> None:
+        """What operators have said here or at another process holds from now on."""
+        for name in sorted(shared.cordoned - before.cordoned):
+            server_id = stable_id(name.encode())
+            log.info("%s is out", name)
+            self.tell(Cordon(server_id))
+            self.pool.cordon(server_id)
+        for name, at in sorted(shared.returned.items()):
+            if before.returned.get(name) != at:
+                log.info("%s is back", name)
+                self.tell(Uncordon(stable_id(name.encode()), at - self.unix_offset))
+
+    def look_at_shared(self) -> None:
+        self.loop.call_later(SHARED_LOOK, self.look_at_shared)
+        self.handover.look()
+
     def quiesce(self, _: bytes) -> Reply:
         """Empty the node: its clients come back elsewhere. What is held and what still comes is served."""
         if not self.quiesced:
@@ -289,6 +344,7 @@
         self.server = await self.listener.start()
         if self.config.admin is not None:
             self.door = await Door(self.loop, self.calls()).start(self.config.admin)
+            self.look_at_shared()
         self.watch = self.loop.create_task(self.discovery.run())
         log.info("%s listens on %s:%d", self.config.name, *self.server.sockets[0].getsockname()[:2])
 
@@ -324,3 +380,4 @@
                 server.close()
         if self.watch is not None:
             self.watch.cancel()
+        self.handover.close()
--- a/badgercart/servers.py
+++ b/badgercart/servers.py
@@ -270,13 +270,27 @@
         elif (server.address, server.state, server.started) != (address, state, started):
             # Connections from before a restart are dead, and a server that drains gets nothing new.
             server.address, server.state, server.started = address, state, started
-            server.version += 1
-            for connection in server.idle:
-                connection.transport.close()
-            server.idle.clear()
+            self.part_with(server)
         if state is State.GONE:  # attempts under way know it; where servers come and go, nobody else must
             self.servers.pop(server_id, None)
 
+    def part_with(self, server: Server) -> None:
+        """Use no connection to it that is open or on its way."""
+        server.version += 1
+        for connection in server.idle:
+            connection.transport.close()
+        server.idle.clear()
+
+    def cordon(self, server_id: int) -> None:
+        """Nothing that was decided before reaches the server from now on."""
+        server = self.servers.get(server_id)
+        if server is None:
+            return
+        self.part_with(server)
+        for attempt in list(self.attempts.values()):
+            if attempt.server is server and attempt.connection is None:
+                self.drop(attempt, Result.UNREACHABLE)
+
     def send(self, request_id: int, number: int, server_id: int, limit: float, message: Message) -> None:
         server = self.servers[server_id]
         now = now_ms()
--- a/cottonhall/interface.py
+++ b/cottonhall/interface.py
@@ -210,7 +210,24 @@
     id: int
 
 
-Event = ServerList | Request | Began | Outcome | ProbeResult | Timer | PeerMessage | Withdrawn
+@dataclass(slots=True)
+class Cordon:
+    """By hand: the server gets nothing new until it is called back, whatever the lists say."""
+
+    server: int
+
+
+@dataclass(slots=True)
+class Uncordon:
+    """By hand: the server may serve again. It was restarted meanwhile, though the list may not say so."""
+
+    server: int
+    at: float  # clock time of the call
+
+
+Event = (
+    ServerList | Request | Began | Outcome | ProbeResult | Timer | PeerMessage | Withdrawn | Cordon | Uncordon
+)
 
 
 # Actions: what the module decides.
--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -12,8 +12,9 @@
 from dataclasses import dataclass, field, replace
 
 from cottonhall.interface import (
-    MAY_RUN_ON, NEVER_RAN, Action, Cancel, Effect, Event, Fail, Group, ListKind, Log, Outcome, Refuse,
-    Request, Result, Send, ServerEntry, ServerList, Settings, State, Subscribe, Timer, Wake, Withdrawn,
+    MAY_RUN_ON, NEVER_RAN, Action, Cancel, Cordon, Effect, Event, Fail, Group, ListKind, Log, Outcome,
+    Refuse, Request, Result, Send, ServerEntry, ServerList, Settings, State, Subscribe, Timer, Uncordon,
+    Wake, Withdrawn,
 )  # fmt: skip
 
 UPKEEP = 50.0  # ms between refreshes of shares and overload; far below any aim
@@ -114,7 +115,10 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings, self.random = settings, random.Random(seed)
         self.servers: dict[int, Server] = {}
-        self.ready: list[int] = []  # in the order of their hashes, the same at every node
+        self.cordoned: set[int] = set()  # out by hand, whether listed or not
+        self.returned: dict[int, float] = {}  # when servers that were out came back, until they are warm
+        self.untried: list[int] = []  # of these, who has not been sent anything yet
+        self.ready: list[int] = []  # may serve; in the order of their hashes, the same at every node
         self.start, self.span = 0, 1  # our stretch of the fleet
         self.ours: list[int] = []  # its servers
         self.ring: list[tuple[int, int]] = []  # places of its servers
@@ -154,6 +158,10 @@
             self.on_list(event)
         elif isinstance(event, Withdrawn):
             self.finish(event.id)
+        elif isinstance(event, Cordon):
+            self.on_cordon(event.server)
+        elif isinstance(event, Uncordon):
+            self.on_uncordon(event)
         elif isinstance(event, Timer):
             if event.token == SUBSCRIBE:
                 self.out.append(Subscribe())
@@ -289,6 +297,8 @@
         if not timely or (server := self.pick(job)) is None:
             self.end(job)
             return
+        if server.entry.id in self.untried:
+            self.untried.remove(server.entry.id)
         job.out.add(job.tries)
         job.maybe_ran[job.tries] = (self.now, server.entry)
         job.used.append(server.entry.id)
@@ -326,6 +336,9 @@
 
     def draw(self, key: int) -> Iterator[int]:
         """Server ids in the order to look at them."""
+        if self.untried:  # one request each, soon: few nodes and near servers would leave it to chance
+            known = (i for i in self.untried if i in self.servers)
+            yield from [i for i in known if self.servers[i].entry.state is State.READY]
         if key and self.settings.warm_keys and self.ready:
             # Where servers remember keys, the key's own places come first; one that draws much has more.
             places = 1 + int(self.key_counts.get(key, 0.0) / self.keys_total * self.span * SPREAD)
@@ -359,8 +372,10 @@
 
     def cold_share(self, server: Server) -> float:
         """What share of its work a server can surely do by its age."""
-        settings, age = self.settings, max(0.0, self.now - server.entry.started)
-        if not server.entry.started or age >= settings.ramp_time:
+        settings = self.settings
+        started = max(server.entry.started, self.returned.get(server.entry.id, 0.0))
+        age = max(0.0, self.now - started)
+        if not started or age >= settings.ramp_time:
             return 1.0
         return settings.cold_from + (1.0 - settings.cold_from) * age / settings.ramp_time
 
@@ -512,9 +527,10 @@
             self.moved.append(job.turn)
 
     def avoided(self, now: float) -> set[int]:
-        """The servers that get nothing now: those that rest for every class."""
+        """The servers that get nothing now: out by hand, or resting for every class."""
         servers = self.servers.items()
-        return {i for i, s in servers if all(health.rest_until > now for health in s.health)}
+        resting = {i for i, s in servers if all(health.rest_until > now for health in s.health)}
+        return resting | self.cordoned
 
     # The server list.
 
@@ -529,7 +545,8 @@
             self.ask_backoff = self.settings.ask_within / 20
         if event.kind is not ListKind.DELTA:
             listed = {entry.id for entry in event.servers}
-            for server_id in [i for i in self.ready if i not in listed]:
+            ready = [i for i, s in self.servers.items() if s.entry.state is State.READY]
+            for server_id in [i for i in ready if i not in listed]:
                 self.note(replace(self.servers[server_id].entry, state=State.GONE))
         for entry in event.servers:
             self.note(entry)
@@ -566,9 +583,35 @@
                 self.servers[entry.id].open = old.open
         was_ready = old is not None and old.entry.state is State.READY
         self.servers[entry.id].entry = entry
-        if was_ready == (entry.state is State.READY):
+        if was_ready == (entry.state is State.READY) or entry.id in self.cordoned:
             return
         if was_ready:
             self.ready.remove(entry.id)
         else:
             insort(self.ready, entry.id, key=mix)
+
+    # Servers that operators take out and call back.
+
+    def on_cordon(self, server_id: int) -> None:
+        server = self.servers.get(server_id)
+        if server is not None and server.entry.state is State.READY and server_id not in self.cordoned:
+            self.ready.remove(server_id)
+        self.cordoned.add(server_id)
+        self.untried = [i for i in self.untried if i != server_id]
+        self.measure_fleet()
+
+    def on_uncordon(self, event: Uncordon) -> None:
+        """The server comes back cold, and the next request that may go there is its first."""
+        server_id = event.server
+        warm = self.now - self.settings.ramp_time
+        self.returned = {i: at for i, at in self.returned.items() if at > warm} | {server_id: event.at}
+        was_out = server_id in self.cordoned
+        self.cordoned.discard(server_id)
+        self.untried = [i for i in self.untried if i != server_id] + [server_id]
+        server = self.servers.get(server_id)
+        if server is not None:
+            health = [Health() for _ in self.usual]
+            self.servers[server_id] = Server(server.entry, 1.0, self.now, health, server.open)
+            if was_out and server.entry.state is State.READY:
+                insort(self.ready, server_id, key=mix)
+        self.measure_fleet()
--- a/tests/net.py
+++ b/tests/net.py
@@ -175,6 +175,7 @@
         "listen": ("127.0.0.1", 0),
         "discovery": ("127.0.0.1", discovery),
         "admin": None,
+        "shared": None,
         "seed": 1,
         "sockets": 1024,
         "known": {},
