Bound the need in flight by what is sent and by the servers that serve

A probe twice a second showed, across the call at 4.3 s: 4.81 s inf 11.2 need 16.8 best 0.4255 rate 0.3474 least 26.4 mean 27.1 5.31 s inf 42.8 need 51.4 best 1.2994 rate 0.3504 least 26.6 mean 41.7 Timely answers stayed at 0.35 a ms while the best rate trebled: the lines in learn_need that take what is in flight for grown traffic, as long as the mean time is short, took a queue for it, since the mean looks back over 2 s of answers. Ruled out: the calls (24, none late or wrong), the network code (0 resets, 0 unreachable), and the cold servers (x was 0 and the jam complete before the first one came back).

--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -134,6 +134,7 @@
         self.failed = self.seen = self.no_link = 0.0  # recent attempts, decayed; share without a connection
         self.errors = 0.0  # their share that failed
         self.flying, self.in_flight, self.need = 0, 0.0, 1.0  # open attempts: now, averaged, when busy
+        self.sent, self.sending = 0, 0.0  # attempts since upkeep; a ms, averaged like those in flight
         self.met, self.age = 0, 0.0  # timely answers since upkeep; ms of traffic seen, up to RATE_TIME
         self.rate = self.best_rate = 0.0  # timely answers a ms: now and at best
         self.mean = self.least = self.answers = 0.0  # their time on average over so many, and at best
@@ -244,6 +245,8 @@
         settle = min(max(SETTLE / self.need, 4 * UPKEEP), 100 * UPKEEP)
         lost = sum(len(s.open) - len(s.held(self.now)) for s in self.servers.values() if s.open)
         self.in_flight += (self.flying - lost - self.in_flight) * min(1.0, passed / settle)
+        self.sending += (self.sent / max(passed, 1.0) - self.sending) * min(1.0, passed / settle)
+        self.sent = 0
         keep = 1 - min(0.5, passed / ERROR_TIME)  # so that a full stop is not for ever
         self.failed, self.seen = self.failed * keep, self.seen * keep
         self.errors = self.failed / (self.seen + PRIOR)
@@ -268,10 +271,13 @@
         if self.answers >= SAMPLE / 5:
             self.least = min((self.least or self.mean) * (1 + passed / LEAST_TIME), self.mean)
             # Growing traffic is in flight before it is answered; few answers would show slowness too late.
+            # What is in flight beyond what is sent has not grown: it is stuck, and no answer tells of it yet.
             if calm and self.mean < QUICK * self.least and self.rate * RATE_TIME > SAMPLE / 2:
-                self.best_rate = max(self.best_rate, self.in_flight / self.least)
+                self.best_rate = max(self.best_rate, min(self.in_flight / self.least, self.sending))
+                self.carried = max(self.carried, self.best_rate / self.warm)
         margin = 1.0 + (MARGIN - 1.0) * max(0.0, 1.0 - self.errors / ERRORS_FROM)
-        self.need = max(self.sized, margin * self.best_rate * self.least)
+        best = min(self.best_rate, self.carried * self.warm)  # servers that have left carry no more
+        self.need = max(self.sized, margin * best * self.least)
         self.need = max(self.need, 1.0) if self.answers < SAMPLE / 5 else self.need  # little seen yet
 
     def refuse_wait(self, score: float) -> float:
@@ -307,6 +313,7 @@
             turn.out += 1
         job.tries += 1
         self.flying += 1
+        self.sent += 1
         server.recent += 1
         self.total_recent += 1
         self.out.append(Send(request.id, server.entry.id, end - self.now))
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -8,6 +8,7 @@
 
 from cottonhall.interface import (
     Cancel,
+    Cordon,
     Group,
     ListKind,
     Log,
@@ -798,3 +799,37 @@
     stage.outcome(number, 0, Result.OK)
     stage.list([server(40)])
     assert set(stage.policy.servers) == {39, 40}
+
+
+def busy_traffic(stage: Stage, ms: int) -> None:
+    """A request every 5 ms; each is answered 40 ms after it was sent."""
+    for _ in range(ms // 5):
+        stage.request()
+        for number, attempt in list(stage.open):
+            if stage.now - stage.attempts[number][attempt][0] >= 40.0:
+                stage.outcome(number, attempt, Result.OK, 40.0)
+        stage.advance(5.0)
+
+
+def test_what_is_stuck_in_flight_is_no_grown_traffic() -> None:
+    stage = Stage(settings(), servers=8)
+    policy = stage.policy
+    busy_traffic(stage, 4000)
+    busy = policy.best_rate
+    for _ in range(60):  # the same traffic as before, but no answer comes
+        stage.request()
+        stage.advance(5.0)
+    assert policy.in_flight > 2 * busy * policy.least  # so much is stuck
+    assert policy.best_rate < 1.5 * busy  # and none of it is a better rate
+    assert policy.x == 1.0
+
+
+def test_servers_that_are_taken_out_take_their_part_of_the_need_with_them() -> None:
+    stage = Stage(settings(), servers=8)
+    busy_traffic(stage, 4000)
+    before = stage.policy.need
+    for out in range(4):
+        stage.give(Cordon(out))
+    stage.advance(100.0)
+    stage.request()
+    assert stage.policy.need < 0.6 * before
