--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -274,10 +274,8 @@
             # What is in flight beyond what is sent has not grown: it is stuck, and no answer tells of it yet.
             if calm and self.mean < QUICK * self.least and self.rate * RATE_TIME > SAMPLE / 2:
                 self.best_rate = max(self.best_rate, min(self.in_flight / self.least, self.sending))
-                self.carried = max(self.carried, self.best_rate / self.warm)
         margin = 1.0 + (MARGIN - 1.0) * max(0.0, 1.0 - self.errors / ERRORS_FROM)
-        best = min(self.best_rate, self.carried * self.warm)  # servers that have left carry no more
-        self.need = max(self.sized, margin * best * self.least)
+        self.need = max(self.sized, margin * self.best_rate * self.least)
         self.need = max(self.need, 1.0) if self.answers < SAMPLE / 5 else self.need  # little seen yet
 
     def refuse_wait(self, score: float) -> float:
