--- a/badgercart/__main__.py
+++ b/badgercart/__main__.py
@@ -33,8 +33,13 @@
     loop.add_signal_handler(signal.SIGHUP, reload, node)
     gc.collect()
     gc.freeze()  # what is there now stays: the collector need not look at it again
-    await node.start()
-    await stop.wait()
+    starting, stopped = loop.create_task(node.start()), loop.create_task(stop.wait())
+    await asyncio.wait({starting, stopped}, return_when=asyncio.FIRST_COMPLETED)
+    if starting.done():
+        starting.result()  # raises what kept it from starting
+        await stopped
+    else:  # told to stop while it waited for a list
+        starting.cancel()
     await node.drain()
 
 
--- a/badgercart/clients.py
+++ b/badgercart/clients.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import re
+import socket
 from collections import deque
 from dataclasses import dataclass
 from hashlib import blake2b
-from typing import Protocol, cast
+from typing import Any, Protocol, cast
 
 import httptools
 
@@ -20,6 +21,7 @@
 MAX_WAITING = 16  # requests sent ahead on one connection, after which it is read no further
 REQUEST_TIME = 2.0  # s that a client may take to send one request
 PROVE_TIME = 2.0  # s from its opening in which a connection must bring a proper request; 3 s are owed at most
+BACKLOG = 4096  # connections that the kernel may queue; it takes off what is over its own limit
 LOOK = 0.2  # s between looks for connections that have not
 FRESH = (
     0.3  # s from its opening in which a connection may bring its first request, also to a node that drains
@@ -92,25 +94,68 @@
         self.handler = handler
         self.limit = limit
         self.connections: set[ClientConnection] = set()
+        self.adopting: set[asyncio.Task[Any]] = set()  # of connections that came before the listener closed
         self.idle: dict[ClientConnection, float] = {}  # and since when, in order of how long
         self.unproven: dict[ClientConnection, float] = {}  # no proper request yet; and when opened, in order
 
     async def start(self) -> asyncio.Server:
-        host, port = self.config.listen
+        self.socket = self.bind()
+        self.server = await self.loop.create_server(self.connection, sock=self.socket, backlog=BACKLOG)
         self.loop.call_later(LOOK, self.look)
-        return await self.loop.create_server(lambda: ClientConnection(self), host, port, backlog=1024)
+        return self.server
+
+    def bind(self) -> socket.socket:
+        host, port = self.config.listen
+        family, kind, protocol, _, address = socket.getaddrinfo(host, port, type=socket.SOCK_STREAM)[0]
+        bound = socket.socket(family, kind, protocol)
+        try:
+            bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            if self.config.admin is not None:  # a successor may listen beside this process
+                bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            bound.setblocking(False)
+            bound.bind(address)
+        except OSError:
+            bound.close()
+            raise
+        return bound
+
+    def connection(self) -> ClientConnection:
+        return ClientConnection(self)
+
+    def stop(self) -> None:
+        """No new connections from now on. Those that the kernel has queued would be reset: they are taken."""
+        while True:
+            try:
+                accepted, _ = self.socket.accept()
+            except OSError:  # none is left, or no descriptor for it
+                break
+            accepted.setblocking(False)
+            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            adopting = self.loop.create_task(self.loop.connect_accepted_socket(self.connection, accepted))
+            self.adopting.add(adopting)
+            adopting.add_done_callback(self.adopting.discard)
+        self.server.close()
+
+    def set_limit(self, limit: int) -> None:
+        self.limit = limit
+        while len(self.connections) > limit and self.make_room(None):
+            pass
 
     def opened(self, client: ClientConnection) -> None:
         self.connections.add(client)
         self.idle[client] = self.unproven[client] = self.loop.time()
-        if len(self.connections) <= self.limit:
-            return
-        # At the limit one makes room that has brought nothing of use; else, as between requests a close is
-        # harmless, the longest idle one.
+        if len(self.connections) > self.limit:
+            self.make_room(client)
+
+    def make_room(self, newest: ClientConnection | None) -> bool:
+        """One makes room that has brought nothing of use; else, as between requests a close is harmless, the
+        longest idle one."""
         for waiting in (self.unproven, self.idle):
-            if (oldest := next(iter(waiting))) is not client:
+            oldest = next(iter(waiting), newest)
+            if oldest is not None and oldest is not newest:
                 oldest.close()
-                return
+                return True
+        return False
 
     def proven(self, client: ClientConnection) -> None:
         self.unproven.pop(client, None)
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -13,6 +13,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
 
@@ -50,7 +51,8 @@
 # ms kept back from a client's time, for the way there. Clients may give only 40 ms in all, and a final answer
 # from a late loop has the rule's slack besides.
 MARGIN = 10.0
-SPARE_SOCKETS = 64  # descriptors for the listener, discovery, files, and connections that are closing
+SPARE_SOCKETS = 64  # descriptors for listeners, discovery, files, callers, and connections that are closing
+FIRST_LIST = 1.0  # s that a successor with a list from before waits for discovery before it takes clients
 ACCEPT_FOR = 0.6  # s after SIGTERM during which new connections are accepted
 SHARED_LOOK = 0.1  # s between looks at what another process of this node has written
 DRAIN_LOOK = 0.02  # s between looks whether all clients are answered
@@ -70,6 +72,13 @@
     sends: int = 0
 
 
+def room(sockets: int) -> tuple[int, int]:
+    """Connections of clients and to servers. A third for servers: few requests are in flight at once, but
+    clients keep what they have opened."""
+    left = sockets - min(SPARE_SOCKETS, sockets // 4)
+    return left - left // 3, left // 3
+
+
 class Node:
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
         self.config = config
@@ -86,13 +95,13 @@
         self.door: asyncio.Server | None = None
         self.watch: asyncio.Task[None] | None = None
         self.listed: set[int] = set()  # servers in the list
-        # A third for servers: few requests are in flight at once, but clients keep what they have opened.
-        room = max(config.sockets - SPARE_SOCKETS, 30)
+        self.told = asyncio.Event()  # discovery has given a list
+        clients, servers = room(config.sockets)
         self.figures = Figures(name.decode("latin-1") for name in config.classes)
         self.pool = ServerPool(
-            loop, config.dial_timeout, config.idle_timeout, room // 3, self.attempt_ended, self.figures
+            loop, config.dial_timeout, config.idle_timeout, servers, self.attempt_ended, self.figures
         )
-        self.listener = Listener(loop, config, self, room - room // 3)
+        self.listener = Listener(loop, config, self, clients)
         self.discovery = Discovery(config.discovery, self.take_list, random.Random(config.seed))
         self.perform: dict[type[Action], Callable[[Any], None]] = {
             Send: self.send,
@@ -221,6 +230,8 @@
             more = f" and {len(entries) - 4} more" if len(entries) > 4 else ""
             log.info("list %d, %s: %s%s", version, kind.name.lower(), changed, more)
         self.healthy = True
+        if kind is not ListKind.CACHED:
+            self.told.set()
         self.tell(ServerList(kind, version, [entry for entry, _, _ in entries]))
         return version
 
@@ -258,14 +269,14 @@
 
     @property
     def ready(self) -> bool:
-        return self.healthy and not self.draining
+        return self.healthy and self.server is not None and not self.draining
 
     def tell_health(self, _: bytes) -> Reply:
         if self.ready:
             return 200, "ready"
         if self.stopping:
             return 503, "stopping"
-        return 503, "quiesced" if self.quiesced else "no list of servers yet"
+        return 503, "quiesced" if self.quiesced else "starting"
 
     def report(self, _: bytes) -> Reply:
         avoided = self.listed & self.policy.avoided(now_ms())
@@ -320,7 +331,17 @@
 
     def look_at_shared(self) -> None:
         self.loop.call_later(SHARED_LOOK, self.look_at_shared)
+        two = self.handover.others
         self.handover.look()
+        if self.handover.others != two:
+            log.info("the node is %s", "two processes" if self.handover.others else "one process again")
+            self.share_room()
+
+    def share_room(self) -> None:
+        """Two processes are one node: each keeps to half of what it may hold."""
+        clients, servers = room(self.config.sockets // (2 if self.handover.others else 1))
+        self.listener.set_limit(clients)
+        self.pool.set_limit(servers)
 
     def quiesce(self, _: bytes) -> Reply:
         """Empty the node: its clients come back elsewhere. What is held and what still comes is served."""
@@ -341,13 +362,22 @@
     # Start and stop.
 
     async def start(self) -> None:
-        self.server = await self.listener.start()
         if self.config.admin is not None:
             self.door = await Door(self.loop, self.calls()).start(self.config.admin)
             self.look_at_shared()
         self.watch = self.loop.create_task(self.discovery.run())
+        if self.handover.others:
+            await self.wait_to_succeed()
+        self.server = await self.listener.start()
         log.info("%s listens on %s:%d", self.config.name, *self.server.sockets[0].getsockname()[:2])
 
+    async def wait_to_succeed(self) -> None:
+        """While the old process serves, nothing may come to this one that it can't serve as well."""
+        self.share_room()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_LIST if self.healthy else None):
+                await self.told.wait()
+
     def move_discovery(self, address: Address) -> None:
         """Follow the list at another address from now on; the version held says where to go on."""
         if address == self.discovery.address:
@@ -362,10 +392,10 @@
         """Take what still comes, answer all that is held, then end."""
         self.stopping = True
         log.info("stopping: %d requests held", len(self.held))
-        self.listener.close_idle()
-        await asyncio.sleep(ACCEPT_FOR)
-        assert self.server is not None
-        self.server.close()
+        if self.server is not None:
+            self.listener.close_idle()
+            await asyncio.sleep(ACCEPT_FOR)
+            self.listener.stop()
         # Who has not sent its whole request by now can't keep the node from ending.
         end = now_ms() + max(c.deadline for c in self.config.settings.classes)
         while self.listener.connections and now_ms() < end:
--- a/badgercart/servers.py
+++ b/badgercart/servers.py
@@ -335,10 +335,17 @@
             self.connections.add(connection)
             connection.start(attempt)
 
+    def set_limit(self, limit: int) -> None:
+        self.max_connections = limit
+        while len(self.connections) + self.dials > limit and self.close_an_idle_one():
+            pass
+
     def close_an_idle_one(self) -> bool:
         for server in self.servers.values():
             if server.idle:
-                server.idle.pop(0).transport.abort()
+                connection = server.idle.pop(0)
+                connection.transport.abort()
+                self.connections.discard(connection)
                 return True
         return False
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -10,7 +10,7 @@
 import subprocess
 import sys
 from asyncio.subprocess import Process
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
@@ -62,14 +62,18 @@
 
 
 @asynccontextmanager
-async def started(path: Path) -> AsyncIterator[tuple[Process, int]]:
-    """A node that listens and has a list, and its port."""
+async def started(
+    path: Path, environ: Mapping[str, str] | None = None, wait: bool = True
+) -> AsyncIterator[tuple[Process, int]]:
+    """A node, and its port: once it listens and has a list, unless it is not to be waited for."""
     node = await asyncio.create_subprocess_exec(
-        *COMMAND, env=os.environ | {"ROUTER_CONFIG": str(path)}, stderr=asyncio.subprocess.PIPE
+        *COMMAND,
+        env=os.environ | {"ROUTER_CONFIG": str(path)} | dict(environ or {}),
+        stderr=asyncio.subprocess.PIPE,
     )
     try:
         port, listed = 0, False
-        while not (port and listed):
+        while wait and not (port and listed):
             line = await log_line(node)
             if match := re.search(r"listens on 127\.0\.0\.1:(\d+)", line):
                 port = int(match[1])
