--- a/badgercart/clients.py
+++ b/badgercart/clients.py
@@ -12,23 +12,24 @@
 
 import httptools
 
+from badgercart.bodies import LEAST, MAX_BODY, WHOLE, Room, Upload
 from badgercart.config import Config
-from badgercart.framing import STATUS_LINES, hang_up
-from badgercart.servers import MAX_BODY, Message, now_ms
+from badgercart.framing import STATUS_LINES, hang_up, reset
+from badgercart.servers import Message, now_ms
 from cottonhall.interface import Effect
 
 MAX_HEAD = 16384  # bytes of request line and headers
 MAX_WAITING = 16  # requests sent ahead on one connection, after which it is read no further
-REQUEST_TIME = 2.0  # s that a client may take to send one request
-PROVE_TIME = 2.0  # s from its opening in which a connection must bring a proper request; 3 s are owed at most
+REQUEST_TIME = 2.6  # s that a client may take to send one request; some take 2 s for the head
+PROVE_TIME = 2.6  # s from its opening in which a connection must bring a proper request; 3 s are owed at most
+LEAST_RATE = 32768  # bytes a second of a body for which a client gets more time; slow ones send twice as much
 BACKLOG = 4096  # connections that the kernel may queue; it takes off what is over its own limit
-LOOK = 0.2  # s between looks for connections that have not
-FRESH = (
-    0.3  # s from its opening in which a connection may bring its first request, also to a node that drains
-)
+LOOK = 0.1  # s between looks for connections that bring nothing
+FRESH = 0.3  # s from its opening in which a connection may bring its first request though the node drains
 HEALTH_PATH = b"/_health"
 
 _TIMEOUT = re.compile(rb"(\d{1,9}(?:\.\d{1,6})?)([mu])")
+_ABSOLUTE = re.compile(rb"https?://[^/?#]+", re.IGNORECASE)
 _DIGITS = re.compile(rb"\d{1,9}")
 _OWN = frozenset(  # headers that concern one connection only, or that each attempt writes anew
     (b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
@@ -61,6 +62,7 @@
     timeout: float  # ms from then until the client gives up
     hint: float  # the client's guess at the work in ms, 0: none
     repeat: bool  # marked as the client's retry
+    expects: bool = False  # the client waits for a go-ahead before it sends the body
 
 
 class Health:
@@ -81,15 +83,24 @@
     def take(self, client: ClientConnection, request: ClientRequest) -> None:
         """Take on a request and give the connection its number."""
 
+    def uploaded(self, client: ClientConnection, request_id: int) -> None:
+        """The last byte of a body that was passed on as it came has come."""
+
     def withdraw(self, request_id: int) -> None:
         """The client has gone away."""
 
+    def hold_answer(self, request_id: int, hold: bool) -> None:
+        """The client takes no more for now, or takes more again."""
+
 
 class Listener:
     """All connections of clients."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, config: Config, handler: Handler, limit: int) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, config: Config, handler: Handler, limit: int, room: Room
+    ) -> None:
         self.loop = loop
+        self.room = room
         self.config = config
         self.handler = handler
         self.limit = limit
@@ -213,14 +224,14 @@
     """The headers of one request: what the node reads of them, and the lines that go on."""
 
     __slots__ = (
-        "bad", "expects", "hint", "key", "length", "lines", "repeat", "request_id", "size", "tenant",
-        "timeout", "whole",
+        "bad", "chunked", "expects", "hint", "key", "length", "lines", "repeat", "request_id", "size",
+        "tenant", "timeout", "whole",
     )  # fmt: skip
 
     def __init__(self) -> None:
         self.lines: list[bytes] = []
         self.size = self.length = 0
-        self.bad = self.expects = self.whole = False
+        self.bad = self.chunked = self.expects = self.whole = False
         self.request_id: bytes | None = None
         self.tenant: bytes | None = None
         self.key: bytes | None = None
@@ -245,6 +256,10 @@
                 self.timeout = float(match[1]) / (1 if match[2] == b"m" else 1000)
         elif lower == b"content-length":
             self.length = int(value)  # the parser has refused all but digits
+        elif lower == b"transfer-encoding":
+            if value.strip().lower() != b"chunked":  # no other coding is undone here
+                raise BadRequest(501)
+            self.chunked = True
         elif lower == b"work-hint":
             self.hint = int(value) / 1000 if _DIGITS.fullmatch(value) else 0.0  # a guess may be left out
         elif lower == b"client-retry":
@@ -255,7 +270,7 @@
             self.lines.append(b"%b: %b\r\n" % (name, value))
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """One connection of a client. Requests on it are answered one after the other."""
 
     transport: asyncio.Transport
@@ -270,12 +285,20 @@
         self.busy = self.advancing = False
         self.keep = True  # the connection, after the answer under way
         self.ended = False  # the last answer has been written
-        self.paused = False
+        self.crowded = self.held = False  # why it is read no further: requests wait, a server takes no more
         self.reading = False  # a request has come in part
         self.timer: asyncio.TimerHandle | None = None  # runs while a request is on its way in
+        self.begun = 0.0  # when it began, later by the time for which it was held
+        self.held_at = 0.0
         self.url = b""
         self.headers = Headers()
         self.body = bytearray()
+        self.came = 0  # bytes of the body
+        self.counted = False  # among the bodies in hand
+        self.upload: Upload | None = None  # what the body goes to where it is not held whole
+        self.uploader = False  # the request being served is the one that is being uploaded
+        self.chunks = False  # the answer under way goes out in chunks
+        self.answering = False  # a part of it has gone out
         self.unread = 0  # bytes since the last whole head
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -286,9 +309,11 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.ended = True
         self.listener.closed(self)
-        if self.timer is not None:
-            self.timer.cancel()
         self.waiting.clear()
+        self.withdraw()
+        self.stop_body()
+
+    def withdraw(self) -> None:
         if self.request_id:
             request_id, self.request_id = self.request_id, 0
             self.listener.handler.withdraw(request_id)
@@ -300,53 +325,121 @@
 
     # Requests in.
 
-    def data_received(self, data: bytes) -> None:
-        if self.ended:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.listener.room.read_buffer()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        if self.ended and not self.reading:
             return
-        self.unread += len(data)
+        self.unread += nbytes
         try:
-            self.parser.feed_data(data)
+            self.parser.feed_data(self.listener.room.read_buffer()[:nbytes])
         except httptools.HttpParserUpgrade:
             # No upgrade is offered: the request is served as any other, and the last on its connection.
             self.ended = True
             if self.waiting:
                 self.waiting[-1] = (self.waiting[-1][0], False)
+            else:
+                self.keep = False
         except httptools.HttpParserError as error:
             cause = error.__context__
             self.stop_reading(cause if isinstance(cause, BadRequest) else BadRequest(400))
         else:
             if self.unread > MAX_HEAD and not self.headers.whole:
                 self.stop_reading(BadRequest(431))
-        if len(self.waiting) > MAX_WAITING and not self.paused:
-            self.paused = True
-            self.transport.pause_reading()
+        if not self.crowded and self.enough():
+            self.crowded = True
+            self.read_or_not()
         self.next()
 
+    def enough(self) -> bool:
+        """Whether as much waits here as may."""
+        waiting = self.waiting
+        if len(waiting) < 2:
+            return False
+        bodies = sum(len(item.message.body) for item, _ in waiting if isinstance(item, ClientRequest))
+        return len(waiting) > MAX_WAITING or bodies > self.listener.room.share
+
+    def read_or_not(self) -> None:
+        if self.transport.is_closing():
+            return
+        if self.crowded or self.held:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+
+    def hold_upload(self, hold: bool) -> None:
+        if hold == self.held:
+            return
+        self.held = hold
+        now = self.listener.loop.time()
+        if hold:
+            self.held_at = now
+        else:
+            self.begun += now - self.held_at  # the client could send nothing meanwhile
+        self.read_or_not()
+
     def stop_reading(self, error: BadRequest) -> None:
         """Nothing further on this connection can be told apart: answer what came before, then this."""
-        self.ended = True
         self.listener.idle.pop(self, None)
+        upload = self.upload
+        if self.uploader:
+            self.withdraw()  # first: a body that breaks off is no failure of a server
+        self.stop_body()
+        if self.ended:  # what is wrong came after the last answer
+            hang_up(self.listener.loop, self.transport)
+            return
+        self.ended = True
+        if upload is not None and upload.answered:
+            self.end()
+        elif self.uploader:  # the request under way is the one that is broken
+            self.keep = False
+            if self.answering:
+                self.break_off()
+            else:
+                self.answer(error.status, extra=error.extra)
+        else:
+            if upload is not None:
+                self.waiting.pop()  # it has not had its turn
+            self.waiting.append((error, False))
+
+    def stop_body(self) -> None:
+        """No more of a request's body comes, whole or not."""
+        self.reading = False
         if self.timer is not None:
             self.timer.cancel()
-        self.waiting.append((error, False))
+        if self.counted:
+            self.counted = False
+            self.listener.room.bodies -= 1
+        if self.upload is not None:
+            upload, self.upload = self.upload, None
+            upload.break_off()
 
     def on_message_begin(self) -> None:
         self.listener.idle.pop(self, None)
         self.headers = Headers()
         self.body = bytearray()
+        self.came = 0
         self.url = b""
         self.reading = True
+        self.begun = self.listener.loop.time()
         self.timer = self.listener.loop.call_later(REQUEST_TIME, self.too_slow)
 
     def too_slow(self) -> None:
         """A client that never finishes its request must not hold a descriptor for ever."""
+        loop = self.listener.loop
+        left = self.begun + REQUEST_TIME + self.came / LEAST_RATE - loop.time()
+        if self.held or left > 0:
+            self.timer = loop.call_later(max(left, LOOK), self.too_slow)
+            return
         self.stop_reading(BadRequest(408))
         self.next()
 
     def give_up(self) -> None:
         """No proper request has come in time."""
         if self.reading and not self.ended:
-            self.too_slow()
+            self.stop_reading(BadRequest(408))
+            self.next()
         else:
             self.close()
 
@@ -360,47 +453,101 @@
         headers.size += len(name) + len(value) + 4
         if headers.size > MAX_HEAD:
             raise BadRequest(431)
-        headers.add(name, value)
+        if not headers.whole:  # else it is a trailer: of those none goes on, and none is believed
+            headers.add(name, value)
 
     def on_headers_complete(self) -> None:
-        self.headers.whole = True
-        if self.headers.length > MAX_BODY:
+        headers = self.headers
+        headers.whole = True
+        version = self.parser.get_http_version()
+        if version not in ("1.1", "1.0"):
+            raise BadRequest(505)
+        if headers.chunked and version == "1.0":
+            raise BadRequest(400)  # who sent it can't have meant it
+        if headers.length > MAX_BODY:
             raise BadRequest(413)  # before the body has come
-        if self.headers.expects and not self.busy and not self.waiting:
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if headers.length > WHOLE:
+            self.start_upload(headers.length)
+        elif headers.expects and not self.busy and not self.waiting:
+            self.go_ahead()
+
+    def go_ahead(self) -> None:
+        self.headers.expects = False
+        self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def start_upload(self, length: int | None) -> None:
+        """The body is more than is held whole: the request goes on its way while it still comes."""
+        request = self.whole_request()
+        if isinstance(request, Health):
+            raise BadRequest(400)
+        self.count_body()
+        self.upload = Upload(self, self.listener.room, length, bytes(self.body))
+        self.body = bytearray()
+        request.message.upload, request.message.body = self.upload, b""
+        request.expects = self.headers.expects
+        self.waiting.append((request, self.parser.should_keep_alive()))
+
+    def count_body(self) -> None:
+        if not self.counted:
+            self.counted = True
+            self.listener.room.bodies += 1
 
     def on_body(self, body: bytes) -> None:
-        if len(self.body) + len(body) > MAX_BODY:
+        self.came += len(body)
+        if self.came > MAX_BODY:
             raise BadRequest(413)
+        if self.upload is not None:
+            self.upload.feed(body)
+            return
         self.body += body
+        if len(self.body) > LEAST:
+            self.count_body()
+        if len(self.body) > self.listener.room.share:
+            # Where many bodies are in hand, less of each is held, also of those with a length.
+            self.start_upload(None if self.headers.chunked else self.headers.length)
 
     def on_message_complete(self) -> None:
-        self.reading = False
-        if self.timer is not None:
-            self.timer.cancel()
+        upload, self.upload = self.upload, None
+        self.stop_body()
         self.unread = 0
+        if upload is not None:
+            self.end_upload(upload)
+            return
         keep = self.parser.should_keep_alive()
         try:
             self.waiting.append((self.whole_request(), keep))
         except BadRequest as error:
             self.waiting.append((error, keep))
 
+    def end_upload(self, upload: Upload) -> None:
+        upload.end()
+        self.hold_upload(False)
+        if upload.answered:
+            if self.ended:
+                hang_up(self.listener.loop, self.transport)
+            elif not self.busy and not self.waiting:
+                self.rest()
+        elif self.uploader:
+            self.uploader = False
+            if self.request_id:
+                self.listener.handler.uploaded(self, self.request_id)
+
     def whole_request(self) -> ClientRequest | Health:
         headers, url = self.headers, self.url
+        if not url.startswith(b"/") and (form := _ABSOLUTE.match(url)):
+            url = b"/" + url[form.end() :].removeprefix(b"/")  # as a proxy is asked; the server gets the path
         if url == HEALTH_PATH:
             if self.parser.get_method() != b"GET":
                 raise BadRequest(405, b"Allow: GET\r\n")
             return Health()
         cls, tenant, key = self.listener.check(self.parser, url, headers)
         method = self.parser.get_method()
-        if headers.timeout is None or (self.body and method == b"GET"):
+        if headers.timeout is None or ((self.body or headers.length) and method == b"GET"):
             raise BadRequest(400)
-        if method == b"POST":
-            headers.lines.append(b"Content-Length: %d\r\n" % len(self.body))
         head = b"%b %b HTTP/1.1\r\n%b" % (method, url, b"".join(headers.lines))
         self.listener.proven(self)
         return ClientRequest(
-            message=Message(head, bytes(self.body)),
+            message=Message(head, bytes(self.body), method == b"POST"),
             cls=cls,
             tenant=tenant,
             key=key,
@@ -411,7 +558,7 @@
         )
 
     def next(self) -> None:
-        """Begin with the next request that has come in whole."""
+        """Begin with the next request that has come in whole, or that is more than can be held."""
         if self.advancing:  # an answer given at once comes back here: a loop, or many would nest too deep
             return
         self.advancing = True
@@ -420,7 +567,7 @@
             item, self.keep = self.waiting.popleft()
             self.busy = True
             if isinstance(item, ClientRequest):
-                handler.take(self, item)
+                self.take(item)
             elif isinstance(item, BadRequest):
                 self.answer(item.status, extra=item.extra)
             elif handler.ready:
@@ -428,36 +575,109 @@
             else:
                 self.answer(503)
         self.advancing = False
+        if self.headers.expects and self.reading and self.upload is None and not self.busy and not self.ended:
+            self.go_ahead()  # its turn has come
+
+    def take(self, request: ClientRequest) -> None:
+        upload = request.message.upload
+        self.uploader = upload is not None and not upload.whole
+        self.listener.handler.take(self, request)
+        if self.uploader and request.expects and self.busy:
+            self.go_ahead()
 
     # Answers out.
 
     def answer(self, status: int, body: bytes = b"", content_type: bytes = b"", extra: bytes = b"") -> None:
         """Write the final answer to the request under way."""
         self.request_id = 0
-        # A node that drains still owes an answer to what it has read: the connection ends with the last.
-        keep = self.keep and (bool(self.waiting) or not self.listener.handler.draining)
+        keep = self.keep_after()
         lines = b"%b%d\r\n%b" % (STATUS_LINES[status], len(body), extra)
         if content_type:
             lines += b"Content-Type: %b\r\n" % content_type
         self.transport.write(b"%b%b\r\n%b" % (lines, b"" if keep else b"Connection: close\r\n", body))
+        self.answered(keep)
+
+    def keep_after(self) -> bool:
+        """Whether the connection outlives the answer under way."""
+        if self.uploader and self.headers.expects:
+            return False  # never told to go ahead: nobody can tell whether the body will come
+        # A node that drains still owes an answer to what it has read: the connection ends with the last.
+        return self.keep and (bool(self.waiting) or not self.listener.handler.draining)
+
+    def begin_answer(self, length: int | None, content_type: bytes) -> None:
+        """The answer goes out as it comes."""
+        if length is None and self.parser.get_http_version() == "1.0":
+            self.keep = False  # it ends with the connection
+        elif length is None:
+            self.chunks = True
+        self.answering = True
+        self.keep = self.keep_after()
+        lines = b"HTTP/1.1 200 OK\r\n"
+        if length is not None:
+            lines += b"Content-Length: %d\r\n" % length
+        elif self.chunks:
+            lines += b"Transfer-Encoding: chunked\r\n"
+        if content_type:
+            lines += b"Content-Type: %b\r\n" % content_type
+        self.transport.set_write_buffer_limits(0)  # nothing is held here: what the kernel does not take waits
+        self.transport.write(b"%b%b\r\n" % (lines, b"" if self.keep else b"Connection: close\r\n"))
+
+    def pass_on(self, data: bytes) -> None:
+        self.transport.write(b"%x\r\n%b\r\n" % (len(data), data) if self.chunks else data)
+
+    def end_answer(self) -> None:
+        self.request_id = 0
+        if self.chunks:
+            self.transport.write(b"0\r\n\r\n")
+        self.chunks = self.answering = False
+        self.transport.set_write_buffer_limits()
+        # A drain may have begun meanwhile; nobody was told, but between requests a close is harmless.
+        self.answered(self.keep)
+
+    def break_off(self) -> None:
+        """The rest of the answer never comes, and the client has to see that."""
+        self.request_id = 0
+        self.ended = True
+        reset(self.transport)
+
+    def pause_writing(self) -> None:
+        if self.answering:
+            self.listener.handler.hold_answer(self.request_id, True)
+
+    def resume_writing(self) -> None:
+        if self.answering:
+            self.listener.handler.hold_answer(self.request_id, False)
+
+    def answered(self, keep: bool) -> None:
+        """The final answer has been written."""
         self.busy = False
+        if self.uploader and self.upload is not None:
+            self.upload.drop()
+        self.uploader = False
         if not keep:
             self.end()
             return
         self.next()
         if self.waiting or self.busy:
             return
-        if self.paused:
-            self.paused = False
-            self.transport.resume_reading()
+        if self.crowded:
+            self.crowded = False
+            self.read_or_not()
         if not self.reading and not self.ended:
+            self.rest()
+
+    def rest(self) -> None:
+        """Nothing is under way: the connection is idle."""
+        if self.listener.handler.draining:
+            self.close()
+        else:
             self.listener.idle[self] = self.listener.loop.time()
 
     def end(self) -> None:
         """After the last answer."""
         self.ended = True
         self.waiting.clear()
-        if self.paused:
-            self.paused = False
-            self.transport.resume_reading()
-        hang_up(self.listener.loop, self.transport)
+        self.crowded = False
+        self.read_or_not()
+        if self.upload is None:  # else once what still comes of a body is read, so that the answer is seen
+            hang_up(self.listener.loop, self.transport)
--- a/badgercart/config.py
+++ b/badgercart/config.py
@@ -28,6 +28,7 @@
     shared: Path | None  # the folder that a successor shares; None: there is none
     seed: int
     sockets: int  # file descriptors that the process may hold
+    memory_mb: int  # over this much the process is killed
     known: dict[str, Any]  # the server list as this node last had it; empty: none
     settings: Settings
     classes: dict[bytes, int]  # numbers of the names, in the order of the settings
@@ -76,6 +77,7 @@
             shared=Path(environ["TMPDIR"]) if admin and environ.get("TMPDIR") else None,
             seed=int(raw["seed"], 16),
             sockets=int(raw["limits"]["sockets"]),
+            memory_mb=int(raw["limits"]["memory_mb"]),
             known=dict(raw.get("known") or {}),
             settings=read_settings(json.dumps(settings).encode()),
             classes={c["Name"].encode(): i for i, c in enumerate(settings["Classes"])},
--- a/badgercart/framing.py
+++ b/badgercart/framing.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from http import HTTPStatus
 
 LINGER = 1.0  # s to discard what still comes after an answer that ends the connection
@@ -17,3 +19,11 @@
         loop.call_later(LINGER, transport.abort)
     else:
         transport.close()
+
+
+def reset(transport: asyncio.Transport) -> None:
+    """End a connection so that the other side can tell it from an orderly end."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None and not transport.is_closing():
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    transport.abort()
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -18,7 +18,8 @@
 from typing import Any
 
 from badgercart.admin import Door, Reply
-from badgercart.clients import ClientConnection, ClientRequest, Listener, stable_id
+from badgercart.bodies import MAX_BODY, Room
+from badgercart.clients import LEAST_RATE, ClientConnection, ClientRequest, Listener, stable_id
 from badgercart.config import Address, Config, parse_address
 from badgercart.discovery import Discovery
 from badgercart.figures import Figures
@@ -27,10 +28,12 @@
 from cottonhall import Policy
 from cottonhall.interface import (
     Action,
+    Began,
     Cancel,
     Cordon,
     Event,
     Fail,
+    Limit,
     ListKind,
     Log,
     Outcome,
@@ -44,6 +47,7 @@
     Subscribe,
     Timer,
     Uncordon,
+    Uploaded,
     Wake,
     Withdrawn,
 )
@@ -52,6 +56,7 @@
 # from a late loop has the rule's slack besides.
 MARGIN = 10.0
 SPARE_SOCKETS = 64  # descriptors for listeners, discovery, files, callers, and connections that are closing
+BODIES = 8  # the part of the memory that bodies in hand may take: one in so many
 FIRST_LIST = 1.0  # s that a successor with a list from before waits for discovery before it takes clients
 ACCEPT_FOR = 0.6  # s after SIGTERM during which new connections are accepted
 SHARED_LOOK = 0.1  # s between looks at what another process of this node has written
@@ -68,8 +73,10 @@
     client: ClientConnection
     message: Message
     cls: int
-    due: float
+    due: float  # while its body comes: the latest that it can become
+    timeout: float  # ms that the client gives from the last byte of its request
     sends: int = 0
+    attempt: Attempt | None = None  # whose answer is passed on as it comes
 
 
 def room(sockets: int) -> tuple[int, int]:
@@ -98,13 +105,15 @@
         self.told = asyncio.Event()  # discovery has given a list
         clients, servers = room(config.sockets)
         self.figures = Figures(name.decode("latin-1") for name in config.classes)
+        self.room = Room((config.memory_mb << 20) // BODIES)
         self.pool = ServerPool(
-            loop, config.dial_timeout, config.idle_timeout, servers, self.attempt_ended, self.figures
+            loop, config.dial_timeout, config.idle_timeout, servers, self, self.figures, self.room
         )
-        self.listener = Listener(loop, config, self, clients)
+        self.listener = Listener(loop, config, self, clients, self.room)
         self.discovery = Discovery(config.discovery, self.take_list, random.Random(config.seed))
         self.perform: dict[type[Action], Callable[[Any], None]] = {
             Send: self.send,
+            Limit: self.limit,
             Refuse: self.refuse,
             Fail: self.fail,
             Cancel: self.cancel,
@@ -153,6 +162,9 @@
             limit = min(limit, action.limit)
         self.pool.send(action.id, number, action.server, limit, held.message)
 
+    def limit(self, action: Limit) -> None:
+        self.pool.limit(action.id, action.attempt, action.limit)
+
     def refuse(self, action: Refuse) -> None:
         self.answer(action.id, 503, b"Retry-After: %.3f\r\n" % (action.wait / 1000) if action.wait else b"")
 
@@ -183,24 +195,69 @@
     def take(self, client: ClientConnection, request: ClientRequest) -> None:
         self.last_id += 1
         request_id = client.request_id = self.last_id
-        due = request.sent + request.timeout - MARGIN
-        self.held[request_id] = Held(client, request.message, request.cls, due)
+        upload = request.message.upload
+        uploading = upload is not None and not upload.whole
+        due = max(request.sent, now_ms() if upload is not None else 0.0) + request.timeout - MARGIN
+        if uploading:
+            due += 1000 * MAX_BODY / LEAST_RATE
+        self.held[request_id] = Held(client, request.message, request.cls, due, request.timeout)
         cls, key, tenant = request.cls, request.key, request.tenant
-        self.tell(Request(request_id, cls, due, key, tenant, request.hint, request.repeat))
+        self.tell(Request(request_id, cls, due, key, tenant, request.hint, request.repeat, uploading))
+
+    def uploaded(self, client: ClientConnection, request_id: int) -> None:
+        held = self.held.get(request_id)
+        if held is not None and held.attempt is None:
+            held.due = now_ms() + held.timeout - MARGIN
+            self.tell(Uploaded(request_id, held.due))
 
     def withdraw(self, request_id: int) -> None:
-        if self.held.pop(request_id, None) is not None:
-            self.tell(Withdrawn(request_id))
+        held = self.held.pop(request_id, None)
+        if held is None:
+            return
+        self.tell(Withdrawn(request_id))
+        if held.attempt is not None:  # its answer is the client's: with the client it ends
+            self.pool.drop(held.attempt, Result.CANCELLED)
+
+    def hold_answer(self, request_id: int, hold: bool) -> None:
+        held = self.held.get(request_id)
+        if held is not None and held.attempt is not None and held.attempt.connection is not None:
+            held.attempt.connection.hold_answer(hold)
 
     # From servers.
 
     def attempt_ended(self, attempt: Attempt, result: Result, answer: Answer | None) -> None:
-        request_id = attempt.request_id
-        if result is Result.OK and answer is not None and (held := self.held.pop(request_id, None)):
+        request_id, held = attempt.request_id, self.held.get(attempt.request_id)
+        if held is not None and held.attempt is attempt:
+            del self.held[request_id]
+            if result is Result.OK:
+                self.figures.ended(held.cls, 200)
+                held.client.end_answer()
+            else:
+                self.figures.ended(held.cls, 502)
+                held.client.break_off()
+        elif held is not None and result is Result.OK and answer is not None:
+            del self.held[request_id]
             self.figures.ended(held.cls, 200)
             held.client.answer(200, answer.body, answer.content_type)
         over, elapsed = request_id not in self.held, now_ms() - attempt.started
-        self.tell(Outcome(request_id, attempt.server.id, over, result, attempt.number, elapsed))
+        upload = attempt.message.upload
+        spent = upload is not None and upload.spent
+        self.tell(Outcome(request_id, attempt.server.id, over, result, attempt.number, elapsed, spent=spent))
+
+    def answer_begins(self, attempt: Attempt, length: int | None, content_type: bytes) -> None:
+        request_id, held = attempt.request_id, self.held.get(attempt.request_id)
+        if held is None:  # it is over: nobody waits for the answer
+            self.pool.drop(attempt, Result.CANCELLED)
+            return
+        held.attempt = attempt
+        elapsed = now_ms() - attempt.started
+        self.tell(Began(request_id, attempt.number, attempt.server.id, elapsed))
+        held.client.begin_answer(length, content_type)
+
+    def answer_part(self, attempt: Attempt, part: bytes) -> None:
+        held = self.held.get(attempt.request_id)
+        if held is not None:
+            held.client.pass_on(part)
 
     # From discovery.
 
@@ -339,7 +396,9 @@
 
     def share_room(self) -> None:
         """Two processes are one node: each keeps to half of what it may hold."""
-        clients, servers = room(self.config.sockets // (2 if self.handover.others else 1))
+        parts = 2 if self.handover.others else 1
+        self.room.budget = (self.config.memory_mb << 20) // BODIES // parts
+        clients, servers = room(self.config.sockets // parts)
         self.listener.set_limit(clients)
         self.pool.set_limit(servers)
 
--- a/badgercart/servers.py
+++ b/badgercart/servers.py
@@ -6,17 +6,19 @@
 import logging
 import time
 from bisect import bisect
-from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import cast
+from typing import Protocol, cast
 
 import httptools
 
+from badgercart.bodies import LEAST, WHOLE, Room, Upload
 from badgercart.config import Address
 from badgercart.figures import Figures
 from cottonhall.interface import Result, State
 
-MAX_BODY = 65536
+HOLD = 0.025  # s for which an answer of unknown length is held, in case that it is short
+STALL_TIME = 5.0  # s without taking a byte of a request after which a server gets no more of it
+SILENCE = 15.0  # s without a byte of an answer that is passed on after which it is given up
 IDLE_MARGIN = 2000.0  # ms before the server's own limit: its close must not cross a request of ours
 SWEEP = 1.0  # s between looks for connections that have been idle for too long
 IDLE_STEPS = (50.0, 75.0, 100.0, 150.0, 200.0, 300.0, 400.0, 800.0, 1600.0)  # ms idle, to tell resets by
@@ -37,8 +39,10 @@
 class Message:
     """A request as it goes on: all but its time-out, which each attempt writes anew."""
 
-    head: bytes  # request line and header lines
+    head: bytes  # request line and header lines, but for the length
     body: bytes
+    post: bool = False  # has a body, maybe an empty one
+    upload: Upload | None = None  # what the body comes from where it is not held whole
 
 
 @dataclass(slots=True)
@@ -62,6 +66,8 @@
     timer: asyncio.TimerHandle | None = None
     dial: asyncio.Task[None] | None = None
     connection: ServerConnection | None = None
+    written: bool = False  # whole: from now on it may have run
+    streaming: bool = False  # its answer is passed on as it comes
 
 
 @dataclass(slots=True, eq=False)
@@ -114,7 +120,7 @@
             self.learn()
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.BufferedProtocol):
     """One connection; it carries one attempt at a time."""
 
     transport: asyncio.Transport
@@ -127,13 +133,22 @@
         self.idle_since = 0.0
         self.idled: float | None = None  # ms before the attempt under way; None: it is the first
         self.parser = httptools.HttpResponseParser(self)
-        self.body = bytearray()
+        self.parts: list[bytes] = []  # of the answer's body, as far as they are held
+        self.size = 0
+        self.length: int | None = None  # of the answer's body, if a header tells it
+        self.coding = b""  # its transfer coding
+        self.counted = False  # among the bodies in hand
         self.not_started = False
         self.content_type = b""
+        self.headed = False  # the final answer's head has come
         self.complete = False
         self.answering = False  # a byte of the answer has come
+        self.heard = 0.0  # when the latest bytes came
+        self.held = False  # the client takes no more for now
         self.keep = False
         self.stray = False  # bytes came after the answer
+        self.hold: asyncio.TimerHandle | None = None
+        self.stall: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # Not isinstance: uvloop's transports do not derive from asyncio's. They come with TCP_NODELAY set.
@@ -143,38 +158,125 @@
         self.pool.connections.discard(self)
         if self in self.server.idle:
             self.server.idle.remove(self)
-        if (attempt := self.attempt) is not None:
-            # The request has been given to the transport: what its buffer held is no proof that the
-            # server did not get it, so the attempt may have run.
-            self.attempt = None
-            self.note_idle(reset=not self.answering)
-            self.pool.end(attempt, Result.RESET)
+        if self.attempt is None:
+            return
+        if exc is None and self.headed and self.length is None and not self.coding:
+            self.complete = True  # an answer that only the end of its connection ends
+            self.finish()
+            return
+        # A request that was given whole to the transport may have run: what its buffer held is no proof that
+        # the server did not get it.
+        self.note_idle(reset=not self.answering)
+        self.give_up(Result.RESET if self.attempt.written else Result.UNREACHABLE)
+
+    def give_up(self, result: Result) -> None:
+        """No answer, or no more of it, is waited for here."""
+        attempt = self.leave()
+        self.transport.abort()
+        if attempt is not None:
+            self.pool.end(attempt, result)
+
+    def leave(self) -> Attempt | None:
+        """Nothing is under way here from now on."""
+        attempt, self.attempt = self.attempt, None
+        for timer in (self.hold, self.stall):
+            if timer is not None:
+                timer.cancel()
+        self.hold = self.stall = None
+        self.parts.clear()
+        if self.counted:
+            self.counted = False
+            self.pool.room.bodies -= 1
+        if attempt is not None and attempt.message.upload is not None:
+            attempt.message.upload.leave()
+        return attempt
+
+    # The request.
 
     def start(self, attempt: Attempt) -> None:
         self.attempt = attempt
         attempt.connection = self
-        self.complete = self.answering = False
+        self.complete = self.answering = self.headed = self.held = False
+        self.size, self.length, self.coding = 0, None, b""
         left = max(1, int(attempt.deadline - now_ms()))
-        message = attempt.message
-        self.transport.write(b"%bRequest-Timeout: %dm\r\n\r\n%b" % (message.head, left, message.body))
+        message, upload = attempt.message, attempt.message.upload
+        if upload is None:
+            length = b"Content-Length: %d\r\n" % len(message.body) if message.post else b""
+        elif upload.length is None:
+            length = b"Transfer-Encoding: chunked\r\n"
+        else:
+            length = b"Content-Length: %d\r\n" % upload.length
+        head = b"%b%bRequest-Timeout: %dm\r\n\r\n" % (message.head, length, left)
+        if upload is None:
+            self.transport.write(head + message.body)
+            self.written()
+        else:
+            self.transport.write(head)
+            self.transport.set_write_buffer_limits(0)  # nothing is held here: what is not taken waits
+            upload.join(self)
+
+    def written(self) -> None:
+        assert self.attempt is not None
+        self.attempt.written = True
+        if self.attempt.message.upload is not None:
+            self.attempt.started = now_ms()  # only now can the server begin
         self.pool.figures.forwards += 1
 
-    def data_received(self, data: bytes) -> None:
+    def pass_on(self, data: bytes) -> None:
+        assert self.attempt is not None and self.attempt.message.upload is not None
+        chunked = self.attempt.message.upload.length is None
+        self.transport.write(b"%x\r\n%b\r\n" % (len(data), data) if chunked else data)
+
+    def pass_end(self) -> None:
+        assert self.attempt is not None and self.attempt.message.upload is not None
+        if self.attempt.message.upload.length is None:
+            self.transport.write(b"0\r\n\r\n")
+        self.transport.set_write_buffer_limits()
+        self.written()
+
+    def break_off(self) -> None:
+        self.give_up(Result.CANCELLED)
+
+    def pause_writing(self) -> None:
+        if self.attempt is not None and self.attempt.message.upload is not None:
+            self.attempt.message.upload.source.hold_upload(True)
+            self.stall = self.pool.loop.call_later(STALL_TIME, self.stalled)
+
+    def resume_writing(self) -> None:
+        if self.stall is not None:
+            self.stall.cancel()
+            self.stall = None
+        if self.attempt is not None and self.attempt.message.upload is not None:
+            self.attempt.message.upload.source.hold_upload(False)
+
+    def stalled(self) -> None:
+        if self.attempt is not None and not self.attempt.written:
+            self.give_up(Result.UNREACHABLE)
+
+    # The answer.
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.pool.room.read_buffer()
+
+    def buffer_updated(self, nbytes: int) -> None:
         if self.attempt is None:  # nothing was asked: what comes next on it could pass for an answer
             self.transport.abort()
             return
         self.answering = True
+        self.heard = now_ms()
         try:
-            self.parser.feed_data(data)
+            self.parser.feed_data(self.pool.room.read_buffer()[:nbytes])
         except httptools.HttpParserError as error:
+            if self.attempt is None:  # given up while it was read
+                return
             if not self.complete:
-                self.malformed(str(error))
+                self.malformed(str(error.__context__ or error))
                 return
             self.stray = True
         except httptools.HttpParserUpgrade:
             self.malformed("an upgrade")
             return
-        if self.complete:
+        if self.complete and self.attempt is not None:
             self.finish()
 
     def note_idle(self, reset: bool) -> None:
@@ -182,28 +284,58 @@
             self.pool.keep_idle.note(self.idled, reset)
 
     def malformed(self, what: str) -> None:
-        attempt, self.attempt = self.attempt, None
-        self.transport.abort()
-        if attempt is not None:
-            log.warning("server %s:%d: malformed answer: %s", *self.server.address, what)
-            self.pool.end(attempt, Result.ERROR)
+        log.warning("server %s:%d: malformed answer: %s", *self.server.address, what)
+        self.give_up(Result.ERROR)
 
     def finish(self) -> None:
-        attempt, self.attempt = self.attempt, None
+        """The answer is whole, or as much of it as is of use."""
+        assert self.attempt is not None
+        whole, body = self.attempt.written, b"".join(self.parts)
+        attempt = self.leave()
         assert attempt is not None
         self.note_idle(reset=False)
-        answer = Answer(self.parser.get_status_code(), bytes(self.body), self.content_type)
-        if self.keep and not self.stray:
+        status = self.parser.get_status_code()
+        if self.complete and self.keep and whole and not self.stray:
             self.pool.park(self)
         else:
             self.transport.close()
-        if answer.status == 200:
+        if status == 200:
             result = Result.OK
-        elif answer.status in (503, 504) and self.not_started:
+        elif status in (503, 504) and self.not_started:
             result = Result.FULL
         else:
             result = Result.ERROR
-        self.pool.end(attempt, result, answer)
+        self.pool.end(attempt, result, Answer(status, body, self.content_type))
+
+    def hold_answer(self, hold: bool) -> None:
+        """The client takes no more for now, or takes more again."""
+        self.held, self.heard = hold, now_ms()
+        if self.transport.is_closing():
+            return
+        if hold:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+
+    def begin(self) -> None:
+        """From here on the answer is passed on as it comes."""
+        attempt = self.attempt
+        if attempt is None or attempt.streaming:
+            return
+        attempt.streaming = True
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        self.count()
+        self.pool.on_begin(attempt, self.length, self.content_type)
+        parts, self.parts = self.parts, []
+        for part in parts:
+            if self.attempt is attempt:
+                self.pool.on_part(attempt, part)
+
+    def count(self) -> None:
+        if not self.counted:
+            self.counted = True
+            self.pool.room.bodies += 1
 
     # What the parser finds.
 
@@ -211,25 +343,54 @@
         if self.complete:
             self.stray = True
             return
-        self.body.clear()
+        self.parts.clear()
+        self.size, self.length, self.coding = 0, None, b""
         self.not_started = False
         self.content_type = b""
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self.complete:
+        if self.complete or self.headed:  # stray, or a trailer
             return
         lower = name.lower()
         if lower == b"not-started":
             self.not_started = value == b"1"
         elif lower == b"content-type":
             self.content_type = value
+        elif lower == b"content-length":
+            self.length = int(value)  # the parser has refused all but digits
+        elif lower == b"transfer-encoding":
+            self.coding = value.strip().lower()
+
+    def on_headers_complete(self) -> None:
+        if self.complete or self.parser.get_status_code() < 200:
+            return
+        if self.coding not in (b"", b"chunked"):
+            raise ValueError(f"transfer coding {self.coding!r}")  # reaches buffer_updated as a parser error
+        self.headed = True
+        if self.parser.get_status_code() != 200:
+            return
+        if self.length is None:
+            self.hold = self.pool.loop.call_later(HOLD, self.begin)
+        elif self.length > WHOLE:
+            self.begin()
 
     def on_body(self, body: bytes) -> None:
-        if self.complete:
+        attempt = self.attempt
+        if self.complete or attempt is None:
             return
-        if len(self.body) + len(body) > MAX_BODY:
-            raise ValueError("a body over the limit")  # reaches data_received as a parser error
-        self.body += body
+        self.size += len(body)
+        if self.parser.get_status_code() != 200:  # its body is of no use; one that goes on is not waited for
+            if self.size > WHOLE:
+                self.keep = False
+                self.finish()
+        elif attempt.streaming:
+            self.pool.on_part(attempt, body)
+        else:
+            self.parts.append(body)
+            if self.size > LEAST:
+                self.count()
+            if self.size > self.pool.room.share:
+                self.begin()
 
     def on_message_complete(self) -> None:
         if self.complete or self.parser.get_status_code() < 200:  # an interim answer
@@ -238,6 +399,19 @@
         self.keep = self.parser.should_keep_alive()
 
 
+class Taker(Protocol):
+    """What the answers go to."""
+
+    def attempt_ended(self, attempt: Attempt, result: Result, answer: Answer | None) -> None:
+        """An attempt has ended, with the answer if one came whole."""
+
+    def answer_begins(self, attempt: Attempt, length: int | None, content_type: bytes) -> None:
+        """An answer is passed on as it comes."""
+
+    def answer_part(self, attempt: Attempt, part: bytes) -> None:
+        """A part of its body."""
+
+
 class ServerPool:
     """All servers that a list has named, and all attempts that are out."""
 
@@ -247,15 +421,17 @@
         dial_timeout: float,
         idle_timeout: float,
         max_connections: int,
-        on_end: Callable[[Attempt, Result, Answer | None], None],
+        taker: Taker,
         figures: Figures,
+        room: Room,
     ) -> None:
         self.loop = loop
         self.dial_timeout = dial_timeout
         self.keep_idle = IdleLimit(max(idle_timeout - IDLE_MARGIN, idle_timeout / 2))
         self.max_connections = max_connections
-        self.on_end = on_end
+        self.on_end, self.on_begin, self.on_part = taker.attempt_ended, taker.answer_begins, taker.answer_part
         self.figures = figures
+        self.room = room
         self.servers: dict[int, Server] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.connections: set[ServerConnection] = set()
@@ -365,10 +541,24 @@
         for server in self.servers.values():
             while server.idle and server.idle[0].idle_since < before:
                 server.idle.pop(0).transport.close()
+        silent = now_ms() - 1000 * SILENCE
+        for connection in [attempt.connection for attempt in self.attempts.values() if attempt.streaming]:
+            if connection is not None and not connection.held and connection.heard < silent:
+                connection.give_up(Result.RESET)
 
     def expire(self, attempt: Attempt) -> None:
-        # Where no connection came up in the whole time, nothing was sent.
-        self.drop(attempt, Result.UNREACHABLE if attempt.connection is None else Result.TIMEOUT)
+        # Where no connection came up in the whole time, or took not all, nothing has run.
+        self.drop(attempt, Result.TIMEOUT if attempt.written else Result.UNREACHABLE)
+
+    def limit(self, request_id: int, number: int, limit: float) -> None:
+        """Set the time-out of an attempt anew."""
+        attempt = self.attempts.get((request_id, number))
+        if attempt is None or attempt.streaming:
+            return
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        attempt.deadline = now_ms() + limit
+        attempt.timer = self.loop.call_later(max(0.0, limit) / 1000, self.expire, attempt)
 
     def cancel(self, request_id: int, number: int) -> None:
         attempt = self.attempts.get((request_id, number))
@@ -380,9 +570,9 @@
         if attempt.dial is not None:
             attempt.dial.cancel()
         if attempt.connection is not None:
-            attempt.connection.attempt = None
-            attempt.connection.transport.abort()
-        self.end(attempt, result)
+            attempt.connection.give_up(result)
+        else:
+            self.end(attempt, result)
 
     def end(self, attempt: Attempt, result: Result, answer: Answer | None = None) -> None:
         if self.attempts.pop((attempt.request_id, attempt.number), None) is None:
--- a/cottonhall/interface.py
+++ b/cottonhall/interface.py
@@ -161,11 +161,22 @@
     tenant: int = 0
     hint: float = 0.0  # expected work, 0: unknown
     repeat: bool = False  # marked by the client as its retry
+    uploading: bool = (
+        False  # its body still comes: `due` is a guess, and a server that gets it has no work yet
+    )
+
+
+@dataclass(slots=True)
+class Uploaded:
+    """The last byte of a request's body has come: its time runs from now."""
+
+    id: int
+    due: float
 
 
 @dataclass(slots=True)
 class Began:
-    """The answer of a streamed class has begun; its deadline no longer runs."""
+    """An answer is passed on as it comes. Its deadline no longer runs, and no other attempt can follow."""
 
     id: int
     attempt: int
@@ -182,6 +193,7 @@
     attempt: int
     elapsed: float
     report: tuple[float, ...] = ()
+    spent: bool = False  # the request's body is gone: it can't be sent again
 
 
 @dataclass(slots=True)
@@ -226,7 +238,17 @@
 
 
 Event = (
-    ServerList | Request | Began | Outcome | ProbeResult | Timer | PeerMessage | Withdrawn | Cordon | Uncordon
+    ServerList
+    | Request
+    | Uploaded
+    | Began
+    | Outcome
+    | ProbeResult
+    | Timer
+    | PeerMessage
+    | Withdrawn
+    | Cordon
+    | Uncordon
 )
 
 
@@ -240,6 +262,15 @@
     limit: float  # time-out of this attempt
 
 
+@dataclass(slots=True)
+class Limit:
+    """The time-out of an attempt that is out, from now."""
+
+    id: int
+    attempt: int
+    limit: float
+
+
 @dataclass(slots=True)
 class Refuse:
     """Final answer: not run, trying again does no harm."""
@@ -282,4 +313,4 @@
     text: str
 
 
-Action = Send | Refuse | Fail | Cancel | Wake | Probe | Subscribe | Log
+Action = Send | Limit | Refuse | Fail | Cancel | Wake | Probe | Subscribe | Log
--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -12,9 +12,9 @@
 from dataclasses import dataclass, field, replace
 
 from cottonhall.interface import (
-    MAY_RUN_ON, NEVER_RAN, Action, Cancel, Cordon, Effect, Event, Fail, Group, ListKind, Log, Outcome,
-    Refuse, Request, Result, Send, ServerEntry, ServerList, Settings, State, Subscribe, Timer, Uncordon,
-    Wake, Withdrawn,
+    MAY_RUN_ON, NEVER_RAN, Action, Began, Cancel, Cordon, Effect, Event, Fail, Group, Limit, ListKind, Log,
+    Outcome, Refuse, Request, Result, Send, ServerEntry, ServerList, Settings, State, Subscribe, Timer,
+    Uncordon, Uploaded, Wake, Withdrawn,
 )  # fmt: skip
 
 UPKEEP = 50.0  # ms between refreshes of shares and overload; far below any aim
@@ -71,6 +71,7 @@
     tokens_at: float
     health: list[Health]  # by class
     open: dict[tuple[int, int], tuple[Job, float, float]] = field(default_factory=dict)  # sent, overdue after
+    uploads: dict[tuple[int, int], Job] = field(default_factory=dict)  # attempts whose bodies still come
     recent: float = 0.0  # our recent attempts, decayed
     slow: float = 1.0  # its answers' time over the usual for their class and its kind
     reached: float = 0.0  # when the latest of the attempts that it has answered was sent
@@ -159,6 +160,10 @@
             self.on_list(event)
         elif isinstance(event, Withdrawn):
             self.finish(event.id)
+        elif isinstance(event, Uploaded):
+            self.on_uploaded(event)
+        elif isinstance(event, Began):
+            self.on_began(event)
         elif isinstance(event, Cordon):
             self.on_cordon(event.server)
         elif isinstance(event, Uncordon):
@@ -286,10 +291,8 @@
 
     def attempt(self, job: Job) -> None:
         """Send the request to a server, hold it for its turn, or end it if none can serve it in time."""
-        request, cls = job.request, self.settings.classes[job.request.cls]
-        usual, turn = self.usual[request.cls], job.turn
-        # An answer after the aim may be worth nothing: then nothing is gained by waiting longer.
-        end = request.due if cls.late_value else min(request.due, job.since + cls.aim)
+        request = job.request
+        usual, turn, end = self.usual[request.cls], job.turn, self.end_of(job)
         # A line that can't be served in time is refused at its end, not held until its deadline.
         ahead = turn.line.index(job) if turn else 0
         latest = end - max((0.5 + ahead) * usual, request.hint, 2 * self.settings.tick)
@@ -306,16 +309,31 @@
         job.out.add(job.tries)
         job.maybe_ran[job.tries] = (self.now, server.entry)
         job.used.append(server.entry.id)
-        server.open[(request.id, job.tries)] = job, self.now, self.now + STALL * usual
+        if request.uploading:
+            server.uploads[(request.id, job.tries)] = job
+        else:
+            self.load(server, job, job.tries)
         if turn:
             turn.out += 1
         job.tries += 1
-        self.flying += 1
-        self.sent += 1
         server.recent += 1
         self.total_recent += 1
         self.out.append(Send(request.id, server.entry.id, end - self.now))
 
+    def load(self, server: Server, job: Job, number: int) -> None:
+        """From now on an attempt is work for its server."""
+        late = self.now + STALL * self.usual[job.request.cls]
+        server.open[(job.request.id, number)] = job, self.now, late
+        self.flying += 1
+        self.sent += 1
+
+    def end_of(self, job: Job) -> float:
+        """How long an attempt may take. After the aim an answer may be worth nothing: then no longer."""
+        request, cls = job.request, self.settings.classes[job.request.cls]
+        if cls.late_value or request.uploading:
+            return request.due
+        return min(request.due, job.since + cls.aim)
+
     def pick(self, job: Job) -> Server | None:
         """A random idle-looking server of a small draw, else the lighter of two."""
         lighter, least, seen = None, 0.0, 0
@@ -407,13 +425,34 @@
 
     # Outcomes, further attempts and final answers.
 
+    def on_uploaded(self, event: Uploaded) -> None:
+        """The time of a request runs from the last byte of its body, and only now can a server begin."""
+        job = self.jobs.get(event.id)
+        if job is None:
+            return
+        job.request.due, job.request.uploading, job.since = event.due, False, self.now
+        for number in sorted(job.out):
+            server = next(s for s in self.servers.values() if (event.id, number) in s.uploads)
+            del server.uploads[event.id, number]
+            job.maybe_ran[number] = self.now, server.entry
+            self.load(server, job, number)
+            self.out.append(Limit(event.id, number, self.end_of(job) - self.now))
+
+    def on_began(self, event: Began) -> None:
+        """What is passed on as it comes is as good as served: its server has done the work."""
+        if event.id in self.jobs:
+            self.on_outcome(Outcome(event.id, event.server, True, Result.OK, event.attempt, event.elapsed))
+
     def on_outcome(self, outcome: Outcome) -> None:
         server = self.servers.get(outcome.server)
         if server is None:
             raise LookupError(f"an outcome names server {outcome.server}, which no list has named")
-        job, sent, _ = server.open.pop((outcome.id, outcome.attempt), (None, 0.0, 0.0))
+        attempt = outcome.id, outcome.attempt
+        if (uploading := server.uploads.pop(attempt, None)) is not None:  # told of its end before its work
+            self.load(server, uploading, outcome.attempt)
+        job, sent, _ = server.open.pop(attempt, (None, 0.0, 0.0))
         if job is None:
-            return  # told twice
+            return  # told twice, or its answer was the client's already
         self.flying -= 1
         self.note_end(job, outcome)
         if outcome.result in ANSWERED:
@@ -421,7 +460,11 @@
         self.learn(server, outcome, job, sent)
         if outcome.over or outcome.id not in self.jobs:
             self.finish(outcome.id)
-        elif outcome.result == Result.TIMEOUT or self.random.random() < max(self.x, self.no_link):
+        elif (
+            outcome.spent
+            or outcome.result == Result.TIMEOUT
+            or self.random.random() < max(self.x, self.no_link)
+        ):
             self.end(job)  # resending feeds a jam, also of connections being made
         else:
             self.attempt(job)
@@ -557,7 +600,7 @@
             self.note(entry)
         # Where servers come and go all day, those that are gone must not be kept for ever.
         known = self.servers.items()
-        self.servers = {i: s for i, s in known if s.entry.state is not State.GONE or s.open}
+        self.servers = {i: s for i, s in known if s.entry.state is not State.GONE or s.open or s.uploads}
         self.measure_fleet()
 
     def measure_fleet(self) -> None:
@@ -585,7 +628,7 @@
             health = [Health() for _ in self.usual]
             self.servers[entry.id] = Server(entry, self.random.random(), self.now, health)
             if old is not None:
-                self.servers[entry.id].open = old.open
+                self.servers[entry.id].open, self.servers[entry.id].uploads = old.open, old.uploads
         was_ready = old is not None and old.entry.state is State.READY
         self.servers[entry.id].entry = entry
         if was_ready == (entry.state is State.READY) or entry.id in self.cordoned:
@@ -616,7 +659,7 @@
         server = self.servers.get(server_id)
         if server is not None:
             health = [Health() for _ in self.usual]
-            self.servers[server_id] = Server(server.entry, 1.0, self.now, health, server.open)
+            self.servers[server_id] = Server(server.entry, 1.0, self.now, health, server.open, server.uploads)
             if was_out and server.entry.state is State.READY:
                 insort(self.ready, server_id, key=mix)
         self.measure_fleet()
--- a/tests/net.py
+++ b/tests/net.py
@@ -178,6 +178,7 @@
         "shared": None,
         "seed": 1,
         "sockets": 1024,
+        "memory_mb": 128,
         "known": {},
         "settings": Settings(classes=classes, may_cancel=True, max_attempts=attempts, max_retry_after=600.0),
         "classes": {name.encode(): i for i, name in enumerate(CLASSES)},
