Take white space round header values as no part of them

At fault: Headers.add took the value as the parser gives it, and httptools leaves white space behind a value there, so no tenant and no time-out matched.

--- a/badgercart/clients.py
+++ b/badgercart/clients.py
@@ -257,7 +257,7 @@
         elif lower == b"content-length":
             self.length = int(value)  # the parser has refused all but digits
         elif lower == b"transfer-encoding":
-            if value.strip().lower() != b"chunked":  # no other coding is undone here
+            if value.lower() != b"chunked":  # no other coding is undone here
                 raise BadRequest(501)
             self.chunked = True
         elif lower == b"work-hint":
@@ -454,7 +454,7 @@
         if headers.size > MAX_HEAD:
             raise BadRequest(431)
         if not headers.whole:  # else it is a trailer: of those none goes on, and none is believed
-            headers.add(name, value)
+            headers.add(name, value.strip(b" \t"))  # white space round a value is no part of it
 
     def on_headers_complete(self) -> None:
         headers = self.headers
--- a/badgercart/servers.py
+++ b/badgercart/servers.py
@@ -351,7 +351,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.complete or self.headed:  # stray, or a trailer
             return
-        lower = name.lower()
+        lower, value = name.lower(), value.strip(b" \t")  # white space round a value is no part of it
         if lower == b"not-started":
             self.not_started = value == b"1"
         elif lower == b"content-type":
@@ -359,7 +359,7 @@
         elif lower == b"content-length":
             self.length = int(value)  # the parser has refused all but digits
         elif lower == b"transfer-encoding":
-            self.coding = value.strip().lower()
+            self.coding = value.lower()
 
     def on_headers_complete(self) -> None:
         if self.complete or self.parser.get_status_code() < 200:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -71,6 +71,7 @@
         (answer(b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n"), Result.ERROR),
         (answer(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"), Result.ERROR),
         (answer(b"HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"), Result.FULL),
+        (answer(b"HTTP/1.1 503 No\r\nNot-Started:\t1 \t\r\nContent-Length: 0 \r\n\r\n"), Result.FULL),
         (answer(b"HTTP/1.1 504 No\r\nnot-started: 1\r\nContent-Length: 0\r\n\r\n"), Result.FULL),
         (answer(b"HTTP/1.1 500 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"), Result.ERROR),
         (answer(b"no HTTP at all\r\n\r\n"), Result.ERROR),
@@ -328,6 +329,20 @@
     run(test())
 
 
+def test_white_space_round_a_header_is_no_part_of_it() -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer, tenants={b"acme": 0}) as stand:
+            data = request("book", Tenant="acme \t", Request_Timeout=" 8000m ", Idempotency_Key="\t5c0f ")
+            assert (await (await stand.client()).ask(data.replace(b"Request-Timeout: 8000m\r\n", b"")))[
+                0
+            ] == 200
+            got = await peer.requests.get()
+            assert (field(got, b"Tenant"), field(got, b"Idempotency-Key")) == (b"acme", b"5c0f")
+
+    run(test())
+
+
 def test_time_is_kept_back_for_the_way_to_the_client() -> None:
     async def test() -> None:
         peer = await Peer().start()
