Let the need follow the servers that serve, and test streamed bodies

At fault: learn_need kept the best rate of all nine for 20 s, and half as much again as its margin. Now the best rate goes with the warm servers, and there is no margin or growth while a fifth of them lacks. Ruled out: the calls and lists (in time, rules kept), the network code (0 resets). Also the tests that streaming was still owed: test_bodies.py.

--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -27,7 +27,8 @@
 SAMPLE = 60.0  # their mean time reaches back over this many, or over RATE_TIME if that is more
 LEAST_TIME = 100000.0  # ms in which the quickest mean time would double: it can follow slower work
 QUICK = 1.3  # answers are quick while their mean time is under this multiple of the quickest
-MARGIN = 1.5  # how far over the best seen may be tried, while next to nothing fails
+MARGIN = 1.5  # how far over the best seen may be tried, while next to nothing fails and no servers lack
+THIN = 0.2  # the part of the servers without which nothing more is tried
 SETTLE = 4000.0  # ms to average in-flight over, divided by the need
 DRAW = 6  # servers looked at for an idle one
 IDLE = 1.15  # a server of usual pace counts as idle while what it had and holds of ours weighs under this
@@ -139,11 +140,11 @@
         self.met, self.age = 0, 0.0  # timely answers since upkeep; ms of traffic seen, up to RATE_TIME
         self.rate = self.best_rate = 0.0  # timely answers a ms: now and at best
         self.mean = self.least = self.answers = 0.0  # their time on average over so many, and at best
-        self.carried = 0.0  # timely answers a ms and warm server, at best
+        self.pace = self.carried = 0.0  # timely answers a ms and warm server: now and at best
         self.x, self.cut, self.shedding = 0.0, 0.0, False
         self.upkeep_at = self.halved_at = self.now = 0.0
         self.kinds: dict[int, float] = {}  # answer time over the usual, by kind of machine
-        self.warm = self.sized = self.strongest = self.mean_strength = 1.0
+        self.full = self.warm = self.sized = self.strongest = self.mean_strength = 1.0
         self.ask_backoff = settings.ask_within / 40
         self.never_ran = NEVER_RAN - {Result.FULL} if settings.full_may_have_run else NEVER_RAN
         self.turns: dict[int, Turn] = {}  # by key
@@ -270,17 +271,25 @@
         calm = self.errors < ERRORS_FROM / 2
         self.age = min(self.age + passed, RATE_TIME)  # a young node has no more to average over
         self.rate += (self.met / max(passed, 1.0) - self.rate) * passed / self.age
+        self.pace += (self.met / max(passed, 1.0) / self.warm - self.pace) * passed / self.age
         self.best_rate = max(self.best_rate * (1 - passed / BEST_TIME), self.rate)
-        self.carried = max(self.carried * (1 - passed / BEST_TIME), self.rate / self.warm)
+        self.carried = max(self.carried * (1 - passed / BEST_TIME), self.pace)
         self.met = 0
+        # Where servers have left or come back cold, the others get more than ever: there is no more to try.
+        self.full = max(self.full * (1 - passed / BEST_TIME), self.warm)
+        slack = max(0.0, 1.0 - (1.0 - self.warm / self.full) / THIN)
         if self.answers >= SAMPLE / 5:
             self.least = min((self.least or self.mean) * (1 + passed / LEAST_TIME), self.mean)
             # Growing traffic is in flight before it is answered; few answers would show slowness too late.
             # What is in flight beyond what is sent has not grown: it is stuck, and no answer tells of it yet.
-            if calm and self.mean < QUICK * self.least and self.rate * RATE_TIME > SAMPLE / 2:
-                self.best_rate = max(self.best_rate, min(self.in_flight / self.least, self.sending))
-        margin = 1.0 + (MARGIN - 1.0) * max(0.0, 1.0 - self.errors / ERRORS_FROM)
-        self.need = max(self.sized, margin * self.best_rate * self.least)
+            quick = self.mean < QUICK * self.least and self.rate * RATE_TIME > SAMPLE / 2
+            if calm and quick and slack > 0.5:
+                grown = min(self.in_flight / self.least, self.sending)
+                self.best_rate = max(self.best_rate, grown)
+                self.carried = max(self.carried, grown / self.warm)
+        margin = 1.0 + (MARGIN - 1.0) * max(0.0, 1.0 - self.errors / ERRORS_FROM) * slack
+        best = min(self.best_rate, self.carried * self.warm)  # servers that have left carry no more
+        self.need = max(self.sized, margin * best * self.least)
         self.need = max(self.need, 1.0) if self.answers < SAMPLE / 5 else self.need  # little seen yet
 
     def refuse_wait(self, score: float) -> float:
--- /dev/null
+++ b/tests/test_bodies.py
@@ -0,0 +1,564 @@
+"""Large bodies, both ways: passed on as they come, bounded in memory, and broken off where all can see it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from typing import cast
+
+import pytest
+
+from badgercart import clients, servers
+from badgercart.bodies import LEAST, WHOLE, Room
+from badgercart.clients import stable_id
+from badgercart.framing import reset
+from badgercart.servers import now_ms
+from cottonhall.interface import Began, Outcome, Request, Result, Uploaded
+from tests.net import OK, WAIT, Client, Peer, Stand, answer, field, request, running, stay_silent
+from tests.test_admin import DOOR, until
+from tests.test_figures import stats
+from tests.test_node import run
+
+BIG = bytes(range(256)) * 8192  # 2 MiB
+PART = 50_000
+LAST = b"0\r\nX-Sum: 1\r\n\r\n"
+
+
+def chunked(body: bytes, size: int = PART) -> bytes:
+    parts = [body[i : i + size] for i in range(0, len(body), size)]
+    return b"".join(b"%x;part=1\r\n%b\r\n" % (len(part), part) for part in parts) + LAST
+
+
+def upload(body: bytes, form: str = "length", **headers: str) -> bytes:
+    """A request with a large body, framed in either way."""
+    if form == "length":
+        return request("pay", body=body, **headers)
+    head = request("pay", Transfer_Encoding="chunked", **headers).replace(b"Content-Length: 0\r\n", b"")
+    return head + chunked(body)
+
+
+class Taker:
+    """A server that gives its test the reins over one request: what came, when to read on, what to answer."""
+
+    def __init__(self, reply: bytes = OK) -> None:
+        self.reply = reply
+        self.head: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+        self.body = bytearray()
+        self.go = asyncio.Event()  # read on
+        self.go.set()
+        self.ended = asyncio.Event()
+
+    async def start(self) -> Peer:
+        peer = Peer()
+        peer.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        peer.port = peer.server.sockets[0].getsockname()[1]
+        return peer
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+            self.head.set_result(head)
+            await self.go.wait()
+            if length := field(head, b"Content-Length"):
+                while len(self.body) < int(length):
+                    self.body += await reader.readexactly(min(65536, int(length) - len(self.body)))
+                    await self.go.wait()
+            elif field(head, b"Transfer-Encoding"):
+                while size := int(await reader.readline(), 16):
+                    self.body += (await reader.readexactly(size + 2))[:-2]
+                    await self.go.wait()
+                await reader.readline()
+            writer.write(self.reply)
+            await reader.read()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self.ended.set()
+            writer.close()
+
+
+@asynccontextmanager
+async def taking(reply: bytes = OK, **changes: object) -> AsyncIterator[tuple[Stand, Taker]]:
+    taker = Taker(reply)
+    async with running(await taker.start(), **changes) as stand:
+        yield stand, taker
+
+
+@pytest.mark.parametrize("form", ["length", "chunked"])
+def test_a_large_request_goes_on_unchanged_and_while_it_still_comes(form: str) -> None:
+    async def test() -> None:
+        async with taking() as (stand, taker):
+            client = await stand.client()
+            data = upload(BIG, form)
+            client.writer.write(data[: len(data) // 2])
+            told = await stand.event(Request)
+            assert told.uploading
+            head = await asyncio.wait_for(taker.head, WAIT)
+            assert (field(head, b"Content-Length") is None) == (form == "chunked")
+            await until(lambda: len(taker.body) > len(BIG) // 3)  # with half of it not written yet
+            client.writer.write(data[len(data) // 2 :])
+            assert (await client.answer())[2] == b"done"
+            assert bytes(taker.body) == BIG
+            due = (await stand.event(Uploaded)).due  # its time runs from the last byte
+            assert 0 < due - now_ms() < 8000.0
+            assert (await stand.outcome()).result == Result.OK
+            assert stand.node.room.bodies == 0 and not stand.node.held
+            assert (await client.ask(b"GET /_health HTTP/1.1\r\n\r\n"))[0] == 200  # the connection goes on
+
+    run(test())
+
+
+ANSWERS = {
+    "length": b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\nContent-Type: x/y\r\n\r\n" % len(BIG) + BIG,
+    "chunked": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Type: x/y\r\n\r\n" + chunked(BIG),
+    "close": b"HTTP/1.1 200 OK\r\nContent-Type: x/y\r\nConnection: close\r\n\r\n" + BIG,
+}
+
+
+async def read_answer(client: Client) -> tuple[bytes, bytes]:
+    """Head and body, in whatever framing."""
+    async with asyncio.timeout(WAIT):
+        head = await client.reader.readuntil(b"\r\n\r\n")
+        if length := field(head, b"Content-Length"):
+            return head, await client.reader.readexactly(int(length))
+        if not field(head, b"Transfer-Encoding"):
+            return head, await client.reader.read()
+        body = bytearray()
+        while size := int(await client.reader.readline(), 16):
+            body += (await client.reader.readexactly(size + 2))[:-2]
+        assert await client.reader.readline() == b"\r\n"
+        return head, bytes(body)
+
+
+@pytest.mark.parametrize("form", ANSWERS)
+@pytest.mark.parametrize("version", [b"HTTP/1.1", b"HTTP/1.0"])
+def test_a_large_answer_reaches_the_client_unchanged(form: str, version: bytes) -> None:
+    async def end_after(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(ANSWERS[form])
+        if form == "close":
+            writer.close()
+
+    async def test() -> None:
+        async with running(await Peer(end_after).start()) as stand:
+            client = await stand.client()
+            client.writer.write(request().replace(b"HTTP/1.1", version))
+            head, body = await read_answer(client)
+            assert body == BIG and field(head, b"Content-Type") == b"x/y"
+            assert isinstance(await stand.event(Began), Began)
+            outcome = await stand.outcome()
+            assert (outcome.result, outcome.over) == (Result.OK, True)
+            assert stand.node.room.bodies == 0 and not stand.node.held and not stand.node.pool.attempts
+            if version == b"HTTP/1.1":
+                assert field(head, b"Connection") is None
+                client.writer.write(request())
+                assert (await read_answer(client))[1] == BIG
+            else:
+                assert await client.end() == b""
+
+    run(test())
+
+
+def test_a_short_answer_that_its_connection_ends_is_whole_and_one_that_is_reset_is_not() -> None:
+    async def close(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\ndone")
+        writer.close()
+
+    async def test() -> None:
+        peer = await Peer(close).start()
+        async with running(peer) as stand:
+            client = await stand.client()
+            assert (await client.ask(request()))[2] == b"done"
+            assert (await stand.outcome()).result == Result.OK
+
+    run(test())
+
+
+def test_the_first_bytes_are_not_held_back_for_the_rest() -> None:
+    rest = asyncio.Event()
+
+    async def slowly(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
+        chunks = b"Transfer-Encoding: chunked" in head  # never: only the path tells
+        assert not chunks
+        if b"/chunked" in head:
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n")
+            await rest.wait()
+            writer.write(b"4\r\nlast\r\n0\r\n\r\n")
+        else:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\nfirst")
+            await rest.wait()
+            writer.write(bytes(70000 - 5))
+
+    async def test() -> None:
+        async with running(await Peer(slowly).start()) as stand:
+            for key in ("chunked", "length"):
+                rest.clear()
+                client = await stand.client()
+                client.writer.write(request(key=key))
+                async with asyncio.timeout(WAIT):
+                    await client.reader.readuntil(b"first")
+                rest.set()
+                async with asyncio.timeout(WAIT):
+                    await client.reader.readuntil(b"last\r\n0\r\n\r\n" if key == "chunked" else bytes(60000))
+                client.writer.close()
+
+    run(test())
+
+
+@pytest.mark.parametrize("form", ANSWERS)
+@pytest.mark.parametrize("version", [b"HTTP/1.1", b"HTTP/1.0"])
+def test_a_break_in_an_answer_that_has_begun_is_seen_by_the_client(form: str, version: bytes) -> None:
+    async def break_off(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(ANSWERS[form][: len(BIG) // 2])
+        await asyncio.sleep(0.1)  # it goes out before the reset throws away what has not
+        reset(cast(asyncio.Transport, writer.transport))
+
+    async def test() -> None:
+        async with running(await Peer(break_off).start(), admin=DOOR) as stand:
+            client = await stand.client()
+            client.writer.write(request("book").replace(b"HTTP/1.1", version))
+            with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+                assert len((await read_answer(client))[1]) < 0  # not reached: it raises
+            found = await stats(stand)
+            assert (found["results.book.aborted"], found["outstanding"], found["forwards"]) == (1, 0, 1)
+            assert not stand.node.held and stand.node.room.bodies == 0
+
+    run(test())
+
+
+def test_a_slow_reader_holds_up_its_server_and_not_the_node() -> None:
+    written = [0]
+
+    async def pour(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (32 << 20))
+        for _ in range(32 << 20 >> 16):
+            writer.write(bytes(65536))
+            written[0] += 65536
+            await writer.drain()
+
+    async def test() -> None:
+        async with running(await Peer(pour).start(), admin=DOOR) as stand:
+            client = await stand.client()
+            client.reader._limit = 1  # type: ignore[attr-defined]  # reads no further than its first bytes
+            client.writer.write(request())
+            async with asyncio.timeout(WAIT):
+                assert await client.reader.read(1) == b"H"
+            before = -1
+            while before != written[0]:  # until the pipe is full
+                before = written[0]
+                await asyncio.sleep(0.2)
+            assert before < 32 << 20
+            (held,) = stand.node.held.values()
+            assert held.client.transport.get_write_buffer_size() <= WHOLE
+            assert (await stats(stand))["outstanding"] == 1
+            client.reader._limit = 1 << 20  # type: ignore[attr-defined]
+            left = 32 << 20
+            async with asyncio.timeout(WAIT):
+                while left > 0:
+                    left -= len(await client.reader.read(1 << 20))
+                    if not stand.node.held:
+                        break
+            await until(lambda: not stand.node.held)
+            assert (await stats(stand))["results.find.succeeded"] == 1
+
+    run(test())
+
+
+def test_a_server_that_takes_nothing_holds_up_its_client_and_not_the_node() -> None:
+    async def test() -> None:
+        async with taking() as (stand, taker):
+            taker.go.clear()
+            client = await stand.client()
+            client.writer.write(upload(bytes(30 << 20)))
+            await asyncio.wait_for(taker.head, WAIT)
+            before = -1
+            while before != client.writer.transport.get_write_buffer_size():
+                before = client.writer.transport.get_write_buffer_size()
+                await asyncio.sleep(0.2)
+            assert before > 10 << 20  # the client still has it
+            (connection,) = stand.node.pool.connections
+            assert connection.transport.get_write_buffer_size() <= WHOLE + 100
+            taker.go.set()
+            assert (await client.answer())[0] == 200
+            assert len(taker.body) == 30 << 20
+
+    run(test())
+
+
+def test_a_server_that_never_takes_the_rest_is_given_up_and_the_request_has_not_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(servers, "STALL_TIME", 0.3)
+
+    async def test() -> None:
+        async with taking(attempts=3) as (stand, taker):
+            taker.go.clear()
+            client = await stand.client()
+            client.writer.write(upload(bytes(30 << 20)))
+            status, head, _ = await client.answer()  # though the body has not come whole
+            assert status == 503 and field(head, b"Retry-After")
+            outcome = await stand.outcome()
+            assert (outcome.result, outcome.spent) == (Result.UNREACHABLE, True)
+            await until(lambda: client.writer.transport.get_write_buffer_size() == 0)  # it is read to its end
+            assert (await client.ask(b"GET /_health HTTP/1.1\r\n\r\n"))[0] == 200
+            assert stand.node.room.bodies == 0
+
+    run(test())
+
+
+def test_a_server_that_ends_before_the_last_byte_has_not_run_the_request() -> None:
+    async def test() -> None:
+        async with taking(attempts=3) as (stand, taker):
+            client = await stand.client()
+            data = upload(BIG)
+            client.writer.write(data[:-10])
+            await until(lambda: len(taker.body) > 100_000)
+            stand.node.pool.attempts.copy().popitem()[1].connection.transport.abort()  # type: ignore[union-attr]
+            status, _, _ = await client.answer()
+            outcome = await stand.outcome()
+            assert (status, outcome.result, outcome.spent) == (503, Result.UNREACHABLE, True)
+
+    run(test())
+
+
+def test_an_early_no_reaches_the_client_and_the_rest_of_the_body_is_thrown_away() -> None:
+    async def full(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with suppress(asyncio.IncompleteReadError, ConnectionError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n")
+            await reader.read()
+        writer.close()
+
+    async def test() -> None:
+        peer = Peer()
+        peer.server = await asyncio.start_server(full, "127.0.0.1", 0)
+        peer.port = peer.server.sockets[0].getsockname()[1]
+        async with running(peer, attempts=3) as stand:
+            client = await stand.client()
+            data = upload(BIG)
+            client.writer.write(data[: len(data) // 2])
+            assert (await client.answer())[0] == 503
+            client.writer.write(data[len(data) // 2 :])
+            assert (await client.ask(b"GET /_health HTTP/1.1\r\n\r\n"))[0] == 200
+
+    run(test())
+
+
+@pytest.mark.parametrize("early", [True, False])
+def test_a_client_that_breaks_off_its_body_costs_no_server_its_name(early: bool) -> None:
+    async def test() -> None:
+        async with taking() as (stand, taker):
+            client = await stand.client()
+            client.writer.write(upload(BIG)[: len(BIG) // 2])
+            await until(lambda: len(taker.body) > 100_000)
+            client.writer.transport.abort()
+            assert (await stand.outcome()).result == Result.CANCELLED
+            await asyncio.wait_for(taker.ended.wait(), WAIT)
+            assert not stand.node.held and not stand.node.pool.attempts and stand.node.room.bodies == 0
+            server = stand.node.policy.servers[stable_id(b"s-1")]
+            assert not any(health.fails for health in server.health)
+            assert not server.open and not server.uploads and stand.node.policy.flying == 0
+
+    run(test())
+
+
+@pytest.mark.parametrize("may_cancel", [True, False])
+def test_a_body_that_turns_out_malformed_is_told_and_reaches_no_server_whole(may_cancel: bool) -> None:
+    async def test() -> None:
+        async with taking() as (stand, taker):
+            object.__setattr__(stand.node.policy.settings, "may_cancel", may_cancel)
+            client = await stand.client()
+            data = upload(BIG, "chunked")
+            client.writer.write(data.removesuffix(LAST) + b"nothing of the kind\r\n")
+            assert (await client.answer())[0] == 400
+            assert await client.end() == b""
+            await asyncio.wait_for(taker.ended.wait(), WAIT)
+            assert (await stand.outcome()).result == Result.CANCELLED
+            assert not stand.node.pool.attempts and stand.node.figures.forwards == 0
+
+    run(test())
+
+
+def test_a_body_that_stalls_is_given_up_and_one_that_is_slow_is_not(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "REQUEST_TIME", 0.4)
+    monkeypatch.setattr(clients, "LEAST_RATE", 400_000)
+
+    async def test() -> None:
+        async with taking() as (stand, taker):
+            client, data = await stand.client(), upload(bytes(400_000))
+            for i in range(0, len(data), 40_000):  # a second at the least rate, and 0.4 s before
+                client.writer.write(data[i : i + 40_000])
+                await asyncio.sleep(0.08)
+            assert (await client.answer())[0] == 200
+        async with taking() as (stand, taker):
+            client = await stand.client()
+            client.writer.write(upload(BIG)[:100_000])
+            assert (await client.answer())[0] == 408
+            assert (await stand.outcome()).result == Result.CANCELLED
+
+    run(test())
+
+
+def test_a_large_body_waits_for_its_turn_on_its_connection() -> None:
+    release = asyncio.Event()
+
+    async def held_back(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
+        if head.startswith(b"GET"):
+            await release.wait()
+        writer.write(OK)
+
+    async def test() -> None:
+        peer = await Peer(held_back).start()
+        async with running(peer) as stand:
+            client = await stand.client()
+            client.writer.write(request() + upload(BIG) + request())
+            await asyncio.wait_for(peer.requests.get(), WAIT)
+            assert len(stand.node.held) == 1
+            (connection,) = stand.node.listener.connections
+            await until(lambda: connection.held)  # read no further meanwhile
+            release.set()
+            for _ in range(3):
+                assert (await client.answer())[0] == 200
+            assert len(await peer.requests.get()) > len(BIG)
+
+    run(test())
+
+
+def test_who_asks_first_is_told_to_go_ahead_and_who_is_refused_is_not() -> None:
+    async def test() -> None:
+        async with taking() as (stand, taker):
+            client = await stand.client()
+            data = upload(BIG, Expect="100-continue")
+            head, body = data[: -len(BIG)], data[-len(BIG) :]
+            assert (await client.ask(head))[0] == 100
+            assert (await client.ask(body))[0] == 200
+            late = await stand.client()
+            stand.node.cordon(b"s-1")  # nobody can serve it
+            status, headers, _ = await late.ask(upload(BIG, Expect="100-continue")[: -len(BIG)])
+            assert (status, field(headers, b"Connection")) == (503, b"close")
+
+    run(test())
+
+
+def test_a_body_over_the_limit_is_told_also_where_it_comes_in_chunks(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "MAX_BODY", 300_000)
+
+    async def test() -> None:
+        async with taking() as (stand, taker):
+            client = await stand.client()
+            client.writer.write(upload(BIG, "chunked"))
+            assert (await client.answer())[0] == 413
+            await asyncio.wait_for(taker.ended.wait(), WAIT)
+            assert (await stand.outcome()).result == Result.CANCELLED
+
+    run(test())
+
+
+def test_an_attempt_that_gets_no_connection_leaves_the_body_for_the_next() -> None:
+    async def test() -> None:
+        gone = await Peer().start()
+        gone.server.close()
+        taker = Taker()
+        async with running(gone, await taker.start(), attempts=3) as stand:
+            stand.node.policy.random.seed(3)
+            outcomes = []
+            for _ in range(12):
+                client = await stand.client()
+                if (await client.ask(upload(BIG)))[0] == 200:
+                    break
+            while not stand.events.empty():
+                event = stand.events.get_nowait()
+                if isinstance(event, Outcome):
+                    outcomes.append((event.result, event.spent))
+            assert outcomes[-1] == (Result.OK, True) and bytes(taker.body) == BIG
+            assert all(outcome == (Result.UNREACHABLE, False) for outcome in outcomes[:-1])
+
+    run(test())
+
+
+def test_after_its_upload_a_request_has_the_time_that_its_client_gives() -> None:
+    async def test() -> None:
+        peer = await Peer(stay_silent).start()
+        async with running(peer, aim=9000.0) as stand:
+            client = await stand.client()
+            client.writer.write(upload(BIG).replace(b"8000m", b"300m"))
+            status, _, _ = await client.answer()
+            assert (status, (await stand.outcome()).result) == (502, Result.TIMEOUT)  # it may have run
+
+    run(test())
+
+
+def test_the_more_bodies_are_in_hand_the_less_is_held_of_each() -> None:
+    room = Room(1 << 20)
+    shares = []
+    for bodies in (0, 1, 16, 32, 1000):
+        room.bodies = bodies
+        shares.append(room.share)
+        assert len(room.read_buffer()) == room.share
+    assert shares == [WHOLE, WHOLE, WHOLE, 32768, LEAST]
+
+
+def test_many_bodies_at_once_stay_within_the_budget() -> None:
+    """Bodies under 64 KiB too are passed on in part where there are too many to hold them whole."""
+
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer, memory_mb=8) as stand:  # a budget of 1 MiB
+            senders = [await stand.client() for _ in range(60)]
+            data = request("pay", body=bytes(60_000))
+            for sender in senders:
+                sender.writer.write(data[:-1])
+
+            def held() -> int:
+                connections = stand.node.listener.connections
+                whole = sum(len(connection.body) for connection in connections)
+                return whole + sum(c.upload.size for c in connections if c.upload is not None)
+
+            await until(lambda: stand.node.room.bodies == 60)
+            await asyncio.sleep(0.1)
+            assert held() < 4 << 20 and stand.node.room.share < 20_000
+            for sender in senders:
+                sender.writer.write(data[-1:])
+            for sender in senders:
+                assert (await sender.answer())[0] in (200, 503)
+            assert stand.node.room.bodies == 0
+
+    run(test())
+
+
+def test_an_answer_that_falls_silent_half_way_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(servers, "SILENCE", 0.2)
+    monkeypatch.setattr(servers, "SWEEP", 0.05)
+
+    async def test() -> None:
+        async with running(await Peer(answer(ANSWERS["length"][:500_000])).start()) as stand:
+            client = await stand.client()
+            client.writer.write(request())
+            with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+                await read_answer(client)
+            assert (await stand.outcome()).result == Result.RESET
+
+    run(test())
+
+
+def test_a_client_that_leaves_in_the_middle_of_an_answer_frees_everything() -> None:
+    async def pour(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (32 << 20))
+        with suppress(ConnectionError):
+            for _ in range(32 << 20 >> 16):
+                writer.write(bytes(65536))
+                await writer.drain()
+
+    async def test() -> None:
+        peer = await Peer(pour).start()
+        async with running(peer) as stand:
+            client = await stand.client()
+            client.writer.write(request())
+            async with asyncio.timeout(WAIT):
+                await client.reader.read(1000)
+            client.writer.transport.abort()
+            await asyncio.wait_for(peer.ended.get(), WAIT)
+            await until(lambda: not stand.node.pool.attempts and not stand.node.pool.connections)
+            assert not stand.node.held and stand.node.room.bodies == 0
+
+    run(test())
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -8,6 +8,7 @@
 
 from cottonhall.interface import (
     Cancel,
+    Cordon,
     Group,
     ListKind,
     Log,
@@ -19,6 +20,7 @@
     ServerEntry,
     State,
     Subscribe,
+    Uncordon,
     Wake,
 )
 from cottonhall.rules import ERRORS_FROM, ERRORS_FULL, PRIOR, Policy
@@ -821,3 +823,19 @@
     assert policy.in_flight > 2 * busy * policy.least  # so much is stuck
     assert policy.best_rate < 1.5 * busy  # and none of it is a better rate
     assert policy.x == 1.0
+
+
+def test_servers_that_are_taken_out_take_their_part_of_the_need_with_them() -> None:
+    stage = Stage(settings(), servers=8)
+    busy_traffic(stage, 4000)
+    before = stage.policy.need
+    for out in range(4):
+        stage.give(Cordon(out))
+    busy_traffic(
+        stage, 500
+    )  # as much as before for the servers that are left: that is no proof that they can
+    assert stage.policy.need < 0.6 * before
+    for out in range(4):
+        stage.give(Uncordon(out, stage.now - 20_000.0))  # warm at once
+    busy_traffic(stage, 100)
+    assert stage.policy.need > 0.9 * before
