Let silent and stopped connections make room before idle ones and slow writers

Whoever was in its first request made room in the order of opening, so a client that takes 2 s for its head went before idle connections. The gauge 'outstanding' leaves out bodies that still come.

--- a/badgercart/admin.py
+++ b/badgercart/admin.py
@@ -12,7 +12,7 @@
 from badgercart.config import Address
 from badgercart.framing import STATUS_LINES, hang_up
 
-MAX_CALLERS = 16  # connections at once
+MAX_CALLERS = 8  # connections at once
 CALL_TIME = 2.0  # s from its opening in which a caller must finish its call
 MAX_CALL = 4096  # bytes of request line and headers
 MAX_ID = 256  # bytes of a body: a job server's id
--- a/badgercart/clients.py
+++ b/badgercart/clients.py
@@ -5,7 +5,7 @@
 import asyncio
 import re
 import socket
-from collections import deque
+from collections import OrderedDict, deque
 from dataclasses import dataclass
 from hashlib import blake2b
 from typing import Any, Protocol, cast
@@ -24,6 +24,7 @@
 PROVE_TIME = 2.6  # s from its opening in which a connection must bring a proper request; 3 s are owed at most
 LEAST_RATE = 32768  # bytes a second of a body for which a client gets more time; slow ones send twice as much
 BACKLOG = 4096  # connections that the kernel may queue; it takes off what is over its own limit
+STOPPED = 0.5  # s without a byte of its first request after which a connection makes room before idle ones
 LOOK = 0.1  # s between looks for connections that bring nothing
 FRESH = 0.3  # s from its opening in which a connection may bring its first request though the node drains
 HEALTH_PATH = b"/_health"
@@ -105,9 +106,14 @@
         self.handler = handler
         self.limit = limit
         self.connections: set[ClientConnection] = set()
+        # Where each connection stands that serves nothing now, and since when, the longest first.
+        self.silent: OrderedDict[ClientConnection, float] = OrderedDict()  # has sent nothing
+        self.partial: OrderedDict[ClientConnection, float] = (
+            OrderedDict()
+        )  # sends its first request: last bytes
+        self.idle: OrderedDict[ClientConnection, float] = OrderedDict()  # between requests
         self.adopting: set[asyncio.Task[Any]] = set()  # of connections that came before the listener closed
-        self.idle: dict[ClientConnection, float] = {}  # and since when, in order of how long
-        self.unproven: dict[ClientConnection, float] = {}  # no proper request yet; and when opened, in order
+        self.unproven: OrderedDict[ClientConnection, float] = OrderedDict()  # no proper request yet: opened
 
     async def start(self) -> asyncio.Server:
         self.socket = self.bind()
@@ -154,27 +160,42 @@
 
     def opened(self, client: ClientConnection) -> None:
         self.connections.add(client)
-        self.idle[client] = self.unproven[client] = self.loop.time()
+        self.silent[client] = self.unproven[client] = self.loop.time()
         if len(self.connections) > self.limit:
             self.make_room(client)
 
     def make_room(self, newest: ClientConnection | None) -> bool:
-        """One makes room that has brought nothing of use; else, as between requests a close is harmless, the
-        longest idle one."""
-        for waiting in (self.unproven, self.idle):
-            oldest = next(iter(waiting), newest)
-            if oldest is not None and oldest is not newest:
-                oldest.close()
+        """One makes room: who has brought nothing of use, else, as a close does no harm, who is idle."""
+        stopped = next(iter(self.partial), None)
+        if stopped is not None and self.partial[stopped] > self.loop.time() - STOPPED:
+            stopped = None
+        ways = (
+            next(iter(self.silent), None),
+            stopped,
+            next(iter(self.idle), None),
+            next(iter(self.partial), None),
+        )
+        for client in ways:
+            if client is not None and client is not newest:
+                client.close()
                 return True
         return False
 
+    def heard(self, client: ClientConnection) -> None:
+        """Bytes have come."""
+        if client in self.unproven:
+            self.silent.pop(client, None)
+            self.partial[client] = self.loop.time()
+            self.partial.move_to_end(client)
+
     def proven(self, client: ClientConnection) -> None:
         self.unproven.pop(client, None)
+        self.partial.pop(client, None)
 
     def closed(self, client: ClientConnection) -> None:
         self.connections.discard(client)
-        self.idle.pop(client, None)
-        self.unproven.pop(client, None)
+        for where in (self.silent, self.partial, self.idle, self.unproven):
+            where.pop(client, None)
 
     def look(self) -> None:
         """Who connects and brings no proper request must not hold a descriptor."""
@@ -188,14 +209,14 @@
     def close_idle(self) -> None:
         """A client that sees its connection close comes back elsewhere. One just opened may yet ask."""
         fresh = self.loop.time() - FRESH
-        for client in [client for client in self.idle if self.unproven.get(client, 0.0) < fresh]:
+        for client in [*self.idle, *(client for client, opened in self.silent.items() if opened < fresh)]:
             client.close()
 
     def waiting(self) -> int:
-        """Requests that have come and wait behind others on their connections."""
-        return sum(
-            isinstance(item, ClientRequest) for client in self.connections for item, _ in client.waiting
-        )
+        """Requests that have come whole and wait behind others on their connections."""
+        items = [item for client in self.connections for item, _ in client.waiting]
+        requests = [item.message for item in items if isinstance(item, ClientRequest)]
+        return sum(message.upload is None or message.upload.whole for message in requests)
 
     def check(
         self, parser: httptools.HttpRequestParser, url: bytes, headers: Headers
@@ -332,6 +353,7 @@
         if self.ended and not self.reading:
             return
         self.unread += nbytes
+        self.listener.heard(self)
         try:
             self.parser.feed_data(self.listener.room.read_buffer()[:nbytes])
         except httptools.HttpParserUpgrade:
@@ -668,6 +690,7 @@
 
     def rest(self) -> None:
         """Nothing is under way: the connection is idle."""
+        self.listener.partial.pop(self, None)
         if self.listener.handler.draining:
             self.close()
         else:
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -75,6 +75,7 @@
     cls: int
     due: float  # while its body comes: the latest that it can become
     timeout: float  # ms that the client gives from the last byte of its request
+    uploading: bool = False  # its body still comes: it is not taken yet
     sends: int = 0
     attempt: Attempt | None = None  # whose answer is passed on as it comes
 
@@ -200,13 +201,16 @@
         due = max(request.sent, now_ms() if upload is not None else 0.0) + request.timeout - MARGIN
         if uploading:
             due += 1000 * MAX_BODY / LEAST_RATE
-        self.held[request_id] = Held(client, request.message, request.cls, due, request.timeout)
+        self.held[request_id] = Held(client, request.message, request.cls, due, request.timeout, uploading)
         cls, key, tenant = request.cls, request.key, request.tenant
         self.tell(Request(request_id, cls, due, key, tenant, request.hint, request.repeat, uploading))
 
     def uploaded(self, client: ClientConnection, request_id: int) -> None:
         held = self.held.get(request_id)
-        if held is not None and held.attempt is None:
+        if held is None:
+            return
+        held.uploading = False
+        if held.attempt is None:  # else its answer has begun already
             held.due = now_ms() + held.timeout - MARGIN
             self.tell(Uploaded(request_id, held.due))
 
@@ -338,7 +342,7 @@
     def report(self, _: bytes) -> Reply:
         avoided = self.listed & self.policy.avoided(now_ms())
         gauges = {
-            "outstanding": len(self.held) + self.listener.waiting(),
+            "outstanding": sum(not held.uploading for held in self.held.values()) + self.listener.waiting(),
             "discovered": len(self.listed),
             "ejected": len(avoided),
         }
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -730,6 +730,36 @@
     run(test())
 
 
+def test_a_client_that_writes_slowly_outlives_silent_stopped_and_idle_ones(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(clients, "STOPPED", 1.0)
+
+    async def test() -> None:
+        async with running(await Peer().start(), sockets=96) as stand:
+            limit = stand.node.listener.limit
+            idle = await stand.client()
+            assert (await idle.ask(request()))[0] == 200
+            stopped, slow, silent = [await stand.client() for _ in range(3)]
+            stopped.writer.write(request()[:20])
+            data = request()
+            for i in range(0, len(data), 16):
+                slow.writer.write(data[i : i + 16])
+                await asyncio.sleep(0.15)
+                if i == 128:  # the other has stopped for long by now
+                    crowd = [await stand.client() for _ in range(limit - 4)]
+                    for client in crowd:
+                        assert (await client.ask(request()))[0] == 200
+                    for first in (silent, stopped, idle):
+                        assert not first.reader.at_eof()
+                        newest = await stand.client()
+                        assert (await newest.ask(request()))[0] == 200
+                        assert await first.end() == b""
+            assert (await slow.answer())[0] == 200
+
+    run(test())
+
+
 def test_small_writes_are_not_held_back() -> None:
     async def test() -> None:
         async with running(await Peer().start()) as stand:
