--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -27,6 +27,7 @@
 SAMPLE = 60.0  # their mean time reaches back over this many, or over RATE_TIME if that is more
 LEAST_TIME = 100000.0  # ms in which the quickest mean time would double: it can follow slower work
 QUICK = 1.3  # answers are quick while their mean time is under this multiple of the quickest
+SLOW = 2.0  # and so slow from this multiple on that the best is not to be had any more
 MARGIN = 1.5  # how far over the best seen may be tried, while next to nothing fails and no servers lack
 THIN = 0.2  # the part of the servers without which nothing more is tried
 SETTLE = 4000.0  # ms to average in-flight over, divided by the need
@@ -272,8 +273,10 @@
         self.age = min(self.age + passed, RATE_TIME)  # a young node has no more to average over
         self.rate += (self.met / max(passed, 1.0) - self.rate) * passed / self.age
         self.pace += (self.met / max(passed, 1.0) / self.warm - self.pace) * passed / self.age
-        self.best_rate = max(self.best_rate * (1 - passed / BEST_TIME), self.rate)
-        self.carried = max(self.carried * (1 - passed / BEST_TIME), self.pace)
+        # Slow answers though no more is sent than at best: other nodes send more than they did, it is gone.
+        forget = BEST_TIME if self.mean < SLOW * self.least else ERROR_TIME
+        self.best_rate = max(self.best_rate * (1 - passed / forget), self.rate)
+        self.carried = max(self.carried * (1 - passed / forget), self.pace)
         self.met = 0
         # Where servers have left or come back cold, the others get more than ever: there is no more to try.
         self.full = max(self.full * (1 - passed / BEST_TIME), self.warm)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -839,3 +839,17 @@
         stage.give(Uncordon(out, stage.now - 20_000.0))  # warm at once
     busy_traffic(stage, 100)
     assert stage.policy.need > 0.9 * before
+
+
+def test_a_best_rate_that_slow_answers_belie_is_soon_forgotten() -> None:
+    stage = Stage(settings(), servers=8)
+    busy_traffic(stage, 4000)
+    best = stage.policy.best_rate
+    for _ in range(500):  # half the traffic, since another node came back, and yet the answers are slow
+        stage.request()
+        for number, attempt in list(stage.open):
+            if stage.now - stage.attempts[number][attempt][0] >= 140.0:
+                stage.outcome(number, attempt, Result.OK, 140.0)
+        stage.advance(10.0)
+    assert stage.policy.mean > 2.0 * stage.policy.least
+    assert stage.policy.best_rate < 0.6 * best
