--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -58,6 +58,19 @@
     run(test())
 
 
+def test_a_target_in_absolute_form_reaches_the_server_as_a_path() -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer) as stand:
+            client = await stand.client()
+            for target in (b"http://backend.local/find/cab7?a=1", b"HTTPS://h:80/find/cab7?a=1"):
+                assert (await client.ask(request().replace(b"/find/cab7", target)))[0] == 200
+                assert (await peer.requests.get()).startswith(b"GET /find/cab7?a=1 HTTP/1.1\r\n")
+            assert (await client.ask(request().replace(b"/find/cab7", b"ftp://h/find/cab7")))[0] == 400
+
+    run(test())
+
+
 def test_ids_are_the_same_at_every_node_and_start() -> None:
     assert stable_id(b"s-5be2a07c") == 0x850D21AD14919D0C
 
