Let servers that a release adds for a while not make the fleet look thin when they go

At fault: 'full' was the most of 20 s, so 10 of 16 passed for a thinned fleet, which keeps half the margin. Now it follows the warm servers slowly, up as down. Ruled out: the cold ones (used 16, slow nowhere).

--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -281,8 +281,8 @@
         self.carried = max(self.carried * (1 - passed / forget), self.pace)
         self.met = 0
         # Where servers have left or come back cold, the others get more than ever: there is less to try.
-        self.full = max(self.full * (1 - passed / BEST_TIME), self.warm)
-        slack = max(0.5, 1.0 - (1.0 - self.warm / self.full) / THIN)
+        self.full += (self.warm - self.full) * (passed / BEST_TIME if self.age >= RATE_TIME else 1.0)
+        slack = min(max(0.5, 1.0 - (1.0 - self.warm / self.full) / THIN), 1.0)
         if self.answers >= SAMPLE / 5:
             self.least = min((self.least or self.mean) * (1 + passed / LEAST_TIME), self.mean)
             # Growing traffic is in flight before it is answered; few answers would show slowness too late.
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -853,3 +853,14 @@
         stage.advance(10.0)
     assert stage.policy.mean > 2.0 * stage.policy.least
     assert stage.policy.best_rate < 0.6 * best
+
+
+def test_servers_that_come_for_a_while_and_go_take_nothing_with_them() -> None:
+    stage = Stage(settings(), servers=8)
+    busy_traffic(stage, 4000)
+    before = stage.policy.need
+    stage.list([server(i) for i in range(8, 16)])  # as in a release: the new ones come before the old ones go
+    busy_traffic(stage, 1000)
+    stage.list([server(i, State.GONE) for i in range(8, 16)])
+    busy_traffic(stage, 200)
+    assert stage.policy.need > 0.8 * before
