--- /dev/null
+++ b/flaxstep/__main__.py
@@ -0,0 +1,6 @@
+"""Starts the command line."""
+
+from flaxstep.cli import main
+
+if __name__ == "__main__":
+    main(prog_name="flaxstep")
--- /dev/null
+++ b/flaxstep/cli.py
@@ -0,0 +1,86 @@
+"""The command line. Each command reads what it is told, calls a room of the lab, and shows the result.
+
+Exit codes: 0 done and all well; 1 a rule was broken; 2 what was asked can't be done, and why in one line.
+"""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import click
+from rich.console import Console
+from rich.table import Table
+
+from flaxstep.lab.play import NotPlayable, encode, play_with
+from flaxstep.lab.scenario import ScenarioError, read_scenario
+from flaxstep.lab.world import Run
+
+CASES = ("in_time", "late", "unserved", "refused", "failed", "given_up")
+
+
+class Refusal(click.ClickException):
+    """What was asked can't be done: one line, exit code 2."""
+
+    exit_code = 2
+
+    def show(self, file: object = None) -> None:
+        click.echo(f"flaxstep: {self.format_message()}", err=True)
+
+
+@click.group()
+def main() -> None:
+    """flaxstep: a worth-aware proxy, and the tools round it."""
+
+
+@main.group()
+def lab() -> None:
+    """Days of the farm in virtual time, with the real decisions."""
+
+
+@lab.command("play")
+@click.argument("scenario", type=click.Path(path_type=Path))
+@click.option("--seed", type=click.IntRange(min=0), default=1, show_default=True, help="Which day is drawn.")
+@click.option(
+    "--policy",
+    default="here",
+    show_default=True,
+    help="'here', a baseline, or a revision of this repository.",
+)
+@click.option("--out", type=click.Path(path_type=Path), help="Keep the result file here.")
+def play_command(scenario: Path, seed: int, policy: str, out: Path | None) -> None:
+    """Play one day of SCENARIO and say what was served. Exit code 1 if a rule was broken."""
+    try:
+        run = play_with(policy, read_scenario(scenario), scenario, seed)
+        if out is not None:
+            out.write_bytes(encode(run))
+    except (ScenarioError, NotPlayable) as error:
+        raise Refusal(str(error)) from None
+    except OSError as error:
+        raise Refusal(f"{error.filename}: {error.strerror}") from None
+    show(run)
+    sys.exit(1 if run.verdict.breaches else 0)
+
+
+def show(run: Run) -> None:
+    """A run as a few lines and a table by class."""
+    verdict, console = run.verdict, Console(highlight=False, width=110)
+    console.print(
+        f"{run.scenario}, seed {run.seed}, policy {run.policy}: {run.first_tries} requests, {run.tries} tries"
+    )
+    console.print(
+        f"G {verdict.g:.4f}   whole day {verdict.served:.4f}   "
+        f"worst 10 s {verdict.worst_window:.4f} (from {verdict.worst_from} s)\n"
+        f"worst class {verdict.worst_class:.4f}   worst tenant {verdict.worst_tenant:.4f}"
+    )
+    prices = ", ".join(f"{name} {value:.4f}" for name, value in verdict.prices.items() if value >= 0.00005)
+    console.print(f"prices: {prices or 'none'}; servers slowed {run.choked}, fallen {len(run.fallen)}")
+    table = Table("class", "served", *(case.replace("_", " ") for case in CASES))
+    for i, (name, served) in enumerate(verdict.classes.items()):
+        table.add_row(name, f"{served:.4f}", *(str(getattr(run.outcomes, case)[i]) for case in CASES))
+    console.print(table)
+    for breach in run.breaches[:10]:
+        place = f"node {breach.node}, request {breach.request}, server {breach.server}"
+        console.print(f"broken: {breach.rule} at {breach.at / 1000:.3f} s, {place}: {breach.what}")
+    if verdict.breaches:
+        console.print(f"rules broken {verdict.breaches} times")
--- /dev/null
+++ b/flaxstep/lab/judge.py
@@ -0,0 +1,135 @@
+"""The judge of a day: worth served, prices, and the four rules of WIRE, each breach with time and place."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import msgspec
+
+from flaxstep.lab.scenario import Scenario
+
+WINDOW = 10  # s of the worst stretch
+MOST_BREACHES = 50  # of a rule that are kept with their details; the rest are counted
+
+
+class Breach(msgspec.Struct, frozen=True):
+    """A broken rule: which, when (ms), where."""
+
+    rule: str
+    at: float
+    node: int
+    request: int
+    server: int
+    what: str
+
+
+class Verdict(msgspec.Struct, frozen=True):
+    """What a day came to. Worths are parts of what was asked for; prices are parts of G."""
+
+    g: float
+    served: float
+    worst_window: float
+    worst_from: int
+    worst_class: float
+    worst_tenant: float
+    classes: dict[str, float]
+    tenants: dict[str, float]
+    prices: dict[str, float]
+    breaches: int
+
+
+@dataclass(slots=True)
+class Bill:
+    """What is paid for, counted as it happens."""
+
+    attempts: int = 0
+    across: int = 0  # attempts that crossed zones
+    probes: int = 0
+    peer_bytes: int = 0
+    late_lost: float = 0.0  # worth that ended unserved after its aim
+    asked_work: float = 0.0
+
+
+@dataclass(slots=True)
+class Judge:
+    scenario: Scenario
+    seconds: int
+    asked: list[float] = field(default_factory=list)  # worth by second of the first try
+    earned: list[float] = field(default_factory=list)
+    by_class: list[list[float]] = field(default_factory=list)  # asked, earned
+    by_tenant: list[list[float]] = field(default_factory=list)
+    refused: list[int] = field(default_factory=list)  # by second
+    failed: list[int] = field(default_factory=list)
+    first_tries: int = 0
+    tries: int = 0
+    breaches: list[Breach] = field(default_factory=list)
+    broken: int = 0
+    by_rule: dict[str, int] = field(default_factory=dict)
+    bill: Bill = field(default_factory=Bill)
+
+    def __post_init__(self) -> None:
+        self.asked, self.earned = [0.0] * self.seconds, [0.0] * self.seconds
+        self.refused, self.failed = [0] * self.seconds, [0] * self.seconds
+        self.by_class = [[1e-9, 0.0] for _ in self.scenario.classes]
+        self.by_tenant = [[1e-9, 0.0] for _ in self.scenario.tenants]
+
+    def breach(self, rule: str, at: float, node: int, request: int, server: int, what: str) -> None:
+        self.broken += 1
+        self.by_rule[rule] = self.by_rule.get(rule, 0) + 1
+        if self.by_rule[rule] <= MOST_BREACHES:
+            self.breaches.append(Breach(rule, round(at, 3), node, request, server, what))
+
+    def ask(self, second: int, cls: int, tenant: int, worth: float, inside: bool) -> None:
+        """A first try asks for its worth; beyond its tenant's share it counts for no tenant."""
+        self.first_tries += 1
+        self.asked[second] += worth
+        self.by_class[cls][0] += worth
+        if inside and self.by_tenant:
+            self.by_tenant[tenant][0] += worth
+
+    def earn(self, second: int, cls: int, tenant: int, worth: float, inside: bool) -> None:
+        self.earned[second] += worth
+        self.by_class[cls][1] += worth
+        if inside and self.by_tenant:
+            self.by_tenant[tenant][1] += worth
+
+    def verdict(self, useful: float, done: float, choked: float) -> Verdict:
+        """The day's result; `choked` is the part of the servers that the sticky slowdown met."""
+        goal, prices, bill = self.scenario.goal, self.scenario.prices, self.bill
+        asked, tries = sum(self.asked) or 1.0, max(self.first_tries, 1)
+        whole = sum(self.earned) / asked
+        worst, worst_from = whole, 0
+        for start in range(1, max(2, self.seconds - WINDOW)):
+            part = sum(self.asked[start : start + WINDOW])
+            share = sum(self.earned[start : start + WINDOW]) / part if part else 1.0
+            if share < worst:
+                worst, worst_from = share, start
+        classes = {c.name: e / a for c, (a, e) in zip(self.scenario.classes, self.by_class, strict=True)}
+        tenants = {t.name: e / a for t, (a, e) in zip(self.scenario.tenants, self.by_tenant, strict=True)}
+        costs = {
+            "cross_zone": prices.cross_zone * bill.across / tries,
+            "waste": prices.waste * max(0.0, done - useful) / max(bill.asked_work, 1.0),
+            "probe": prices.probe * bill.probes / tries,
+            "peer": prices.peer * bill.peer_bytes / 256 / tries,
+            "late_fail": prices.late_fail * bill.late_lost / asked,
+            "overdriven": self.scenario.choke.price * choked,
+        }
+        g = (
+            goal.whole * whole
+            + goal.worst_window * worst
+            + goal.worst_class * min(classes.values())
+            + goal.worst_tenant * min(tenants.values(), default=whole)
+            - sum(costs.values())
+        )
+        return Verdict(
+            g=round(g, 6),
+            served=round(whole, 6),
+            worst_window=round(worst, 6),
+            worst_from=worst_from,
+            worst_class=round(min(classes.values()), 6),
+            worst_tenant=round(min(tenants.values(), default=whole), 6),
+            classes={name: round(value, 6) for name, value in classes.items()},
+            tenants={name: round(value, 6) for name, value in tenants.items()},
+            prices={name: round(value, 6) for name, value in costs.items()},
+            breaches=self.broken,
+        )
--- /dev/null
+++ b/flaxstep/lab/play.py
@@ -0,0 +1,120 @@
+"""Plays one day of a scenario with one module, of this checkout or of another revision."""
+
+from __future__ import annotations
+
+import io
+import os
+import subprocess
+import sys
+import tarfile
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from cottonhall import interface
+from cottonhall.interface import Settings
+from cottonhall.rules import Policy
+from flaxstep.lab.host import Module
+from flaxstep.lab.scenario import Scenario, read_scenario
+from flaxstep.lab.world import MakePolicy, Run, World
+
+ROOT = Path(__file__).resolve().parents[2]
+HERE = "here"
+
+
+class NotPlayable(Exception):
+    """A module that can't be had: why, in one line."""
+
+
+@dataclass(slots=True, frozen=True)
+class Player:
+    """A module to play with: how to make one for a node, and which events it knows."""
+
+    name: str
+    make: MakePolicy
+    events: frozenset[str]
+
+    def knows(self, event: str) -> bool:
+        return event in self.events
+
+
+def make_policy(settings: Settings, seed: int) -> Module:
+    return Policy(settings, seed)
+
+
+def player(name: str) -> Player:
+    """The module of the `cottonhall` that this process has loaded, or one of the baselines."""
+    if name == HERE or name.startswith("rev "):
+        return Player(name, make_policy, frozenset(vars(interface)))
+    from flaxstep.lab.baselines import BASELINES  # needs today's interface, which a revision may lack
+
+    return Player(name, BASELINES[name], frozenset({"Cordon", "Uncordon"}))
+
+
+def play(scenario: Scenario, seed: int, module: Player) -> Run:
+    """One day. The same scenario, seed and module give the same result, to the byte."""
+    world = World(scenario, seed, module.make, module.knows)
+    world.play()
+    return world.result(module.name)
+
+
+def play_with(policy: str, scenario: Scenario, path: Path, seed: int) -> Run:
+    """One day with a module by name. A revision's has a process of its own: its interface differs."""
+    from flaxstep.lab.baselines import BASELINES
+
+    if policy == HERE or policy in BASELINES:
+        return play(scenario, seed, player(policy))
+    commit, folder = revision(policy)
+    command = [sys.executable, "-B", "-m", "flaxstep.lab.play", str(path.resolve()), str(seed), commit]
+    environment = os.environ | {"PYTHONPATH": f"{folder}{os.pathsep}{ROOT}"}
+    done = subprocess.run(command, env=environment, cwd=folder, capture_output=True, check=False)
+    if done.returncode:
+        last = done.stderr.decode(errors="replace").strip().splitlines()[-1:]
+        raise NotPlayable(f"{policy}: its module can't be played: {' '.join(last)}")
+    return msgspec.json.decode(done.stdout, type=Run)
+
+
+def revision(name: str) -> tuple[str, Path]:
+    """The commit that a name means, and a folder with its `cottonhall`; kept for the next time."""
+    commit = git("rev-parse", "--verify", "--quiet", f"{name}^{{commit}}").decode().strip()
+    if not commit:
+        raise NotPlayable(f"{name}: neither 'here', nor a baseline, nor a revision of this repository")
+    folder = ROOT / "runs" / "modules" / commit
+    if not folder.exists():
+        archive = git("archive", "--format=tar", commit, "cottonhall")
+        if not archive:
+            raise NotPlayable(f"{name}: has no cottonhall")
+        half = folder.with_name(f"{commit}.{os.getpid()}")
+        half.mkdir(parents=True)
+        with tarfile.open(fileobj=io.BytesIO(archive)) as tar:
+            tar.extractall(half, filter="data")
+        try:
+            half.rename(folder)
+        except OSError:  # another process was first
+            if not folder.exists():
+                raise
+    return commit[:12], folder
+
+
+def git(*arguments: str) -> bytes:
+    try:
+        return subprocess.run(["git", *arguments], cwd=ROOT, capture_output=True, check=False).stdout
+    except FileNotFoundError:
+        raise NotPlayable("git is missing, so only 'here' and the baselines can be played") from None
+
+
+def encode(run: Run) -> bytes:
+    """The result file: JSON, keys in their order."""
+    return msgspec.json.encode(run) + b"\n"
+
+
+def read_run(path: Path) -> Run:
+    """A result file; msgspec.DecodeError if it is none."""
+    return msgspec.json.decode(path.read_bytes(), type=Run)
+
+
+if __name__ == "__main__":  # a revision's module, for play_with
+    file, number, revision_name = sys.argv[1:]
+    result = play(read_scenario(Path(file)), int(number), player(f"rev {revision_name}"))
+    sys.stdout.buffer.write(encode(result))
