Send to the lightest server of the draw under load, and let one answer move its pace less

Cause: with no idle server in the draw the lighter of the first two took the request, and a server's pace followed single answers (0.4 each) where work differs from 0.3 to 5 times.

Change: what counts as idle rises with the load (1.1 times the least of the draw), and an answer weighs 0.15.

--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -1,7 +1,7 @@
 """Every decision of the balancer. Its types, events and actions are in cottonhall/interface.py.
 
 A request is scored by worth on arrival. Under measured overload x those scored below 100 * x**3 are refused;
-the rest go to a random idle-looking server of a small draw, else to the lighter of two.
+the rest go to a random idle-looking server of a small draw; what counts as idle rises with the load.
 """
 
 from __future__ import annotations
@@ -33,6 +33,7 @@
 SETTLE = 4000.0  # ms to average in-flight over, divided by the need
 DRAW = 6  # servers looked at for an idle one
 IDLE = 1.15  # a server of usual pace counts as idle while what it had and holds of ours weighs under this
+BUSY = 1.1  # where none does, under this multiple of the least of the draw
 SPREAD = 2.0  # servers that share a key, for each mean server's worth of traffic that it draws
 SUSPECT_AT = 0.4  # recent failures of a server, over twice those of all, above which it rests
 RING_POINTS = 16  # places of a server on the key ring: evens out the shares
@@ -41,6 +42,7 @@
 SPARSE = 0.2  # requests a server below which a node's own hold tells too little of the whole fleet
 NODES = 6  # nodes that then share a stretch: fewer know more of its servers, but its keys are colder
 FEW = 8  # servers in a stretch at least: enough to tell good from bad
+SLOW_GAIN = 0.15  # weight of one answer in a server's pace: work differs more from request to request
 STALL = 4.0  # an attempt open for this multiple of the usual time marks its server as stalled
 COLD_SHARE = 0.8  # of what a cold server could do by its age, what we send: peers' keys are warm, its own not
 COLD_QUICK = 0.6  # and while it is quick, of what would tip it, by what its warm peers answer now
@@ -349,27 +351,33 @@
         return min(request.due, job.since + cls.aim)
 
     def pick(self, job: Job) -> Server | None:
-        """A random idle-looking server of a small draw, else the lighter of two."""
-        lighter, least, seen = None, 0.0, 0
+        """A random idle-looking server of a small draw; where none is, one that is about as light as any."""
+        found: list[tuple[float, Server]] = []
+        seen: set[int] = set()
         mean = self.total_recent / self.span
         for server_id in self.draw(job.request.key):
             server = self.servers[server_id]
             health = server.health[job.request.cls]
+            if (
+                server_id in seen or server_id in job.used
+            ):  # two draws mean two servers, also in a small fleet
+                continue
+            seen.add(server_id)
             held = server.held(self.now)
-            fit = self.usable(server, health, held) and self.allowed(job, server)
-            fit = fit and server_id not in job.used
-            if server is lighter or not fit:  # two draws mean two servers, also in a small fleet
+            if not (self.usable(server, health, held) and self.allowed(job, server)):
                 continue
             ours = (0.5 * server.recent / mean + 4 * len(held)) / max(self.strength(server), 1e-6)
             load = (1 + ours * self.mean_strength) * server.slow * (1 + health.fails)
-            seen += 1
-            if load < 1 + IDLE or lighter is None or (seen == 2 and load < least):
-                lighter, least = server, load
-            if load < 1 + IDLE or seen == DRAW:
+            found.append((load, server))
+            if load < 1 + IDLE or len(found) == DRAW:
                 break
-        if lighter is not None and self.cold_share(lighter) < 1.0:
-            lighter.tokens -= 1
-        return lighter
+        if not found:
+            return None
+        few = max(1 + IDLE, BUSY * min(load for load, _ in found))
+        server = next(server for load, server in found if load <= few)
+        if self.cold_share(server) < 1.0:
+            server.tokens -= 1
+        return server
 
     def draw(self, key: int) -> Iterator[int]:
         """Server ids in the order to look at them."""
@@ -548,7 +556,7 @@
             ratio = min(outcome.elapsed / self.usual[cls], 8.0)
             kind = self.kinds.get(server.entry.kind, 1.0)
             self.kinds[server.entry.kind] = kind + 0.005 * (ratio - kind)
-            server.slow += 0.4 * (ratio / kind - server.slow)
+            server.slow += SLOW_GAIN * (ratio / kind - server.slow)
         wanted = self.settings.classes[cls]
         if not bad and (wanted.late_value or self.now - job.since <= wanted.aim):
             self.met += 1
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -864,3 +864,12 @@
     stage.list([server(i, State.GONE) for i in range(8, 16)])
     busy_traffic(stage, 200)
     assert stage.policy.need > 0.8 * before
+
+
+def test_under_load_the_light_servers_get_what_comes() -> None:
+    stage = Stage(settings(), servers=6)
+    for _ in range(120):  # no answer comes: every server fills up
+        stage.request(cls=2)
+        stage.now += 1.0
+    heavy = {i: sum(1 for n, a in stage.open if stage.attempts[n][a][1].id == i) for i in range(6)}
+    assert max(heavy.values()) - min(heavy.values()) <= 3
