Give a cold server the next request when it has answered the last, while nodes are few

Cause: a cold server got a share of what this node sent each warm one at best, times what its age is sure of (12% at first).

Change: while its latest attempt was served, a node may have up to two out there. What waits for answers can't tip a server, however slow: in any stretch no more is sent than it has done and what is out. The budget (TipMultiple - 1, OverloadFor, both from the settings) bounds that for all nodes together; many nodes go by tokens as before, and so does a server after its first failure. The debt of tokens is bounded.

--- a/cottonhall/interface.py
+++ b/cottonhall/interface.py
@@ -111,6 +111,7 @@
     cold_from: float = 1.0  # a server starts with this share of its capacity or more
     ramp_time: float = 0.0
     tip_multiple: float = 1.0  # sent this multiple of what it can do, a cold server falls over
+    tip_time: float = 0.0  # ms: in any stretch of this length
 
     def __post_init__(self) -> None:
         _need(len(self.classes) > 0, "classes", self.classes)
@@ -125,6 +126,7 @@
             "tip_multiple",
             "max_retry_after",
             "key_rest",
+            "tip_time",
         ):
             _need(getattr(self, name) >= 0, name, getattr(self, name))
         for quota in self.quotas:
--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -46,6 +46,7 @@
 STALL = 4.0  # an attempt open for this multiple of the usual time marks its server as stalled
 COLD_SHARE = 0.8  # of what a cold server could do by its age, what we send: peers' keys are warm, its own not
 COLD_QUICK = 0.6  # and while it is quick, of what would tip it, by what its warm peers answer now
+COLD_OPEN = 2  # attempts that a node may have out at a cold server that answers: each asks for the next
 FIRST = 4.0  # requests that a server gets at once when it is called back, from all nodes together
 SUBSCRIBE = 1 << 60  # token of the timer that asks for the list; the others' are ids of held requests
 MASK = (1 << 64) - 1
@@ -82,6 +83,7 @@
     slow: float = 1.0  # its answers' time over the usual for their class and its kind
     reached: float = 0.0  # when the latest of the attempts that it has answered was sent
     served: float = -1e9  # when it last served one
+    proven: bool = False  # its latest attempt was served: what it answers may be sent again
 
     def held(self, now: float) -> list[tuple[float, float]]:
         """When each attempt that it holds was sent and is overdue; without those that it has lost.
@@ -376,7 +378,7 @@
         few = max(1 + IDLE, BUSY * min(load for load, _ in found))
         server = next(server for load, server in found if load <= few)
         if self.cold_share(server) < 1.0:
-            server.tokens -= 1
+            server.tokens = max(server.tokens - 1, -1.0)
         return server
 
     def draw(self, key: int) -> Iterator[int]:
@@ -413,7 +415,7 @@
         overdue = any(late < self.now for _, late in held)
         if overdue and (len(held) > 1 or 2 * held[0][1] - held[0][0] > self.now):
             return False  # hung or pausing, seen before any time-out; a lone one is tried once more, later
-        return self.cold_share(server) >= 1.0 or self.cold_token(server)
+        return self.cold_share(server) >= 1.0 or self.cold_next(server) or self.cold_token(server)
 
     def cold_share(self, server: Server) -> float:
         """What share of its work a server can surely do by its age."""
@@ -424,6 +426,17 @@
             return 1.0
         return settings.cold_from + (1.0 - settings.cold_from) * age / settings.ramp_time
 
+    def cold_next(self, server: Server) -> bool:
+        """Whether a cold server may get another because it has answered the last.
+
+        What waits for answers can't tip it, however slow it is: in any stretch no more is sent than it has
+        done and what is out, for which the budget has room as long as the nodes are few.
+        """
+        settings = self.settings
+        room = COLD_QUICK * (settings.tip_multiple - 1.0) * self.cold_share(server) * settings.tip_time
+        most = min(room / settings.group_size / max(self.usual), COLD_OPEN)
+        return server.proven and len(server.open) + 1 <= most
+
     def cold_token(self, server: Server) -> bool:
         # All nodes together overdrive a cold server: each keeps to its share of what a warm peer answered
         # (little of what is sent may arrive), without a burst; at first to its part of one at a time.
@@ -549,7 +562,7 @@
         self.failed += weight * bad - self.failed / REACH
         self.errors = self.failed / (self.seen + PRIOR)
         if not bad:
-            server.served = self.now
+            server.served, server.proven = self.now, True
             self.usual[cls] += (0.02 if self.x < 0.2 else 0.002) * (outcome.elapsed - self.usual[cls])
         if not bad or (result == Result.TIMEOUT and not lost):
             # How slow against its class, then its kind: few samples of one server, many of its kind.
@@ -563,6 +576,7 @@
             self.answers = min(self.answers + 1, max(SAMPLE, self.rate * RATE_TIME))
             self.mean += (outcome.elapsed - self.mean) / self.answers
         if bad:
+            server.proven = False
             self.suspect(server, cls, result, lost or (result == Result.TIMEOUT and weight < 0.5))
         else:
             health.fails *= 0.7
--- a/cottonhall/wire.py
+++ b/cottonhall/wire.py
@@ -140,6 +140,7 @@
         cold_from=float(rules["ColdFrom"]),
         ramp_time=float(rules["RampTime"]),
         tip_multiple=float(rules.get("TipMultiple", 1.0)),
+        tip_time=float(rules.get("OverloadFor", 0.0)),
     )
 
 
--- a/flaxstep/lab/world.py
+++ b/flaxstep/lab/world.py
@@ -381,6 +381,7 @@
             "cold_from": rules.cold_from,
             "ramp_time": rules.ramp_ms,
             "tip_multiple": rules.tip_multiple,
+            "tip_time": rules.tip_ms,
             "peers": scenario.peers.allowed,
             "probes": True,
         }
--- a/tests/test_cordon.py
+++ b/tests/test_cordon.py
@@ -277,3 +277,28 @@
         stage.give(Uncordon(0, stage.now))
         first += targets(stage, 1) == [0]
     assert first < 20
+
+
+def test_a_cold_server_gets_the_next_when_it_has_answered_the_last() -> None:
+    """What waits for answers can't tip it; of many nodes, or after a failure, its age alone counts."""
+    got = {}
+    for nodes, result in ((2, Result.OK), (400, Result.OK), (2, Result.RESET)):
+        stage = Stage(
+            settings(group_size=nodes, tip_multiple=2.5, tip_time=2000.0, ramp_time=60_000.0), servers=4
+        )
+        stage.give(Cordon(0))
+        targets(stage, 200)
+        stage.give(Uncordon(0, stage.now))
+        for other in range(1, 4):
+            stage.give(Cordon(other))
+        sent = 0
+        for _ in range(300):  # nobody else is there: it gets what it may
+            for number, attempt in list(stage.open):
+                stage.outcome(number, attempt, result)
+            assert len(stage.open) <= 2
+            stage.request()
+            sent += len(stage.open)
+            stage.advance(5.0)
+        got[nodes, result] = sent
+    assert got[2, Result.OK] > 250
+    assert max(got[400, Result.OK], got[2, Result.RESET]) < 30
