Bound the quickest answers by what is wanted, and give new queues time before they are shed

A node that takes over another's traffic refused at 39 ms where 133 are wanted: its need was its own best rate times the quickest time of idle servers (19 ms), and that grows only as fast as it dares.

Change: answers may take 0.3 of the shortest wanted time (settings) or 1.7 times the quickest, whichever is less, and never more than that 0.3 whatever the node has seen. A queue bridges a change, so the allowance and a wider cut (2.0 for 1.4 of the need) hold while overload is new and fade within 6 s.

--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -20,7 +20,11 @@
 UPKEEP = 50.0  # ms between refreshes of shares and overload; far below any aim
 SHARE_HALF = 5000.0  # ms after which counts of offered work and keys are halved
 ERRORS_FROM, ERRORS_FULL = 0.1, 0.4  # share of failed attempts where overload begins, and where it is 1
-IN_FLIGHT_FROM, IN_FLIGHT_FULL = 0.9, 1.4  # overload begins and is 1 at these multiples of a fleet's need
+QUEUE, QUEUE_MOST = 0.3, 1.7  # answers may take that part of the shortest wanted time, or so many times the
+# quickest, before they are overload: what waits beyond slows servers down for long
+IN_FLIGHT_FROM, IN_FLIGHT_FULL = 0.9, 1.4  # overload begins and is 1 at these multiples of a fleet's need,
+IN_FLIGHT_BRIEF = 2.0  # and at this one while it is new: then all is refused at 0.9 of the wanted time
+PATIENCE = 6000.0  # ms: a queue bridges a change, but one that stands serves nothing, and fills servers up
 ERROR_TIME, REACH = 4000.0, 33.0  # the error share looks back over so many ms and so many attempts
 PRIOR = 4.0  # attempts taken as good beside those seen: a few that fail by chance are no overload
 RATE_TIME, BEST_TIME = 2000.0, 20000.0  # ms to average the rate of timely answers, and to forget its best
@@ -135,6 +139,7 @@
         n = len(settings.classes)
         self.worths = [c.worth * w for w in (1.0, settings.over_quota_worth) for c in settings.classes]
         self.usual = [c.aim / 4 for c in settings.classes]  # learned answer time by class
+        self.wanted = min(c.aim for c in settings.classes)
         self.offered = [1e-9] * (2 * n)  # recent requests, like worths: by class, then by class beyond quota
         self.bands: list[tuple[float, float]] = [(0.0, 100.0)] * (2 * n)
         self.quota_used = [0.0] * len(settings.quotas)
@@ -149,6 +154,7 @@
         self.mean = self.least = self.answers = 0.0  # their time on average over so many, and at best
         self.pace = self.carried = 0.0  # timely answers a ms and warm server: now and at best
         self.x, self.cut, self.shedding = 0.0, 0.0, False
+        self.patience = 1.0  # towards 0 while overload lasts
         self.upkeep_at = self.halved_at = self.now = 0.0
         self.kinds: dict[int, float] = {}  # answer time over the usual, by kind of machine
         self.full = self.warm = self.sized = self.strongest = self.mean_strength = 1.0
@@ -265,7 +271,8 @@
         self.errors = self.failed / (self.seen + PRIOR)
         self.learn_need(passed)
         x = (self.errors - ERRORS_FROM) / (ERRORS_FULL - ERRORS_FROM)
-        x = max(x, (self.in_flight / self.need - IN_FLIGHT_FROM) / (IN_FLIGHT_FULL - IN_FLIGHT_FROM))
+        full = IN_FLIGHT_FULL + (IN_FLIGHT_BRIEF - IN_FLIGHT_FULL) * self.patience
+        x = max(x, (self.in_flight / self.need - IN_FLIGHT_FROM) / (full - IN_FLIGHT_FROM))
         self.x = min(max(x, 0.0), 1.0)
         self.cut = 100.0 * self.x**3
         if self.shedding != (self.cut > (1.0 if self.shedding else 25.0)):
@@ -274,7 +281,7 @@
             self.out.append(Log(f"shedding {'on' if self.shedding else 'off'}: x {self.x:.2f}, {state}"))
 
     def learn_need(self, passed: float) -> None:
-        """What a busy fleet needs in flight: its best rate of timely answers times their quickest time."""
+        """What a busy fleet needs in flight: its best rate of timely answers times what they may take."""
         calm = self.errors < ERRORS_FROM / 2
         self.age = min(self.age + passed, RATE_TIME)  # a young node has no more to average over
         self.rate += (self.met / max(passed, 1.0) - self.rate) * passed / self.age
@@ -298,7 +305,12 @@
                 self.carried = max(self.carried, grown / self.warm)
         margin = 1.0 + (MARGIN - 1.0) * max(0.0, 1.0 - self.errors / ERRORS_FROM) * slack
         best = min(self.best_rate, self.carried * self.warm)  # servers that have left carry no more
-        self.need = max(self.sized, margin * best * self.least)
+        self.patience += ((self.x == 0.0) - self.patience) * min(1.0, passed / PATIENCE)
+        # A node that has only seen a jam takes slow answers for the quickest there are; the settings know.
+        most = QUEUE * self.wanted
+        least = min(self.least, most)
+        may_take = least + (min(most, QUEUE_MOST * least) - least) * self.patience
+        self.need = max(self.sized, margin * best * may_take)
         self.need = max(self.need, 1.0) if self.answers < SAMPLE / 5 else self.need  # little seen yet
 
     def refuse_wait(self, score: float) -> float:
