--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -154,7 +154,8 @@
         self.mean = self.least = self.answers = 0.0  # their time on average over so many, and at best
         self.pace = self.carried = 0.0  # timely answers a ms and warm server: now and at best
         self.x, self.cut, self.shedding = 0.0, 0.0, False
-        self.patience = 1.0  # towards 0 while overload lasts
+        self.brief = settings.group_size <= NODES  # of many, none sees enough to tell a new queue from an old
+        self.patience = float(self.brief)  # towards 0 while overload lasts
         self.upkeep_at = self.halved_at = self.now = 0.0
         self.kinds: dict[int, float] = {}  # answer time over the usual, by kind of machine
         self.full = self.warm = self.sized = self.strongest = self.mean_strength = 1.0
@@ -305,7 +306,7 @@
                 self.carried = max(self.carried, grown / self.warm)
         margin = 1.0 + (MARGIN - 1.0) * max(0.0, 1.0 - self.errors / ERRORS_FROM) * slack
         best = min(self.best_rate, self.carried * self.warm)  # servers that have left carry no more
-        self.patience += ((self.x == 0.0) - self.patience) * min(1.0, passed / PATIENCE)
+        self.patience += ((self.x == 0.0 and self.brief) - self.patience) * min(1.0, passed / PATIENCE)
         # A node that has only seen a jam takes slow answers for the quickest there are; the settings know.
         most = QUEUE * self.wanted
         least = min(self.least, most)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -889,3 +889,11 @@
     """Its quickest answers were slow ones; what is wanted says that they are (overload in the simulator)."""
     stage = Stage(settings(), servers=8)
     assert feed(stage, 400, 4, 320.0) > 800
+
+
+def test_only_where_nodes_are_few_is_a_queue_given_time() -> None:
+    """Two hundred that wait each for a queue to go fill servers up together (split+mass: 0.70 to 0.62)."""
+    few, many = (Stage(settings(group_size=nodes), servers=8) for nodes in (3, 200))
+    for stage in (few, many):
+        busy_traffic(stage, 3000)
+    assert few.policy.need > 1.2 * many.policy.need
