--- a/flaxstep/lab/farm.py
+++ b/flaxstep/lab/farm.py
@@ -116,7 +116,7 @@
         self.warmth_done = NEVER  # work done since the start
         # Troubles
         self.slow, self.taken, self.errors, self.lost, self.resets = 1.0, 0.0, 0.0, 0.0, 0.0
-        self.paused, self.unheard = False, False
+        self.paused = False
         # What it holds
         self.running: list[tuple[float, int, Attempt]] = []
         self.in_work = 0
--- a/flaxstep/lab/host.py
+++ b/flaxstep/lab/host.py
@@ -154,7 +154,7 @@
         way = world.one_way(self.zone, server.plan.zone)
         attempt.limit = now + limit
         world.engine.at(attempt.limit, self.time_out, attempt)
-        if world.is_cut(self.zone, server.plan.zone) or server.unheard:
+        if world.is_cut(self.zone, server.plan.zone):
             world.engine.after(world.dial_ms, self.ended, attempt, Result.UNREACHABLE)
             return
         if not server.up:
@@ -217,11 +217,12 @@
         world, server = self.world, self.world.by_id[action.server]
         world.judge.bill.probes += 1
         way = world.one_way(self.zone, server.plan.zone)
-        if world.is_cut(self.zone, server.plan.zone) or server.unheard or not server.up:
-            late = PROBE_TIME if server.unheard else 2 * way
+        cut = world.is_cut(self.zone, server.plan.zone)
+        if cut or not server.up:
+            late = PROBE_TIME if cut else 2 * way
             world.engine.after(late, self.tell_alive, ProbeResult(action.server, Result.UNREACHABLE, late))
             return
-        report = (float(world.reported(server)),)
+        report = (float(server.held),)
         world.engine.after(2 * way, self.tell_alive, ProbeResult(action.server, Result.OK, 2 * way, report))
 
     def subscribe(self, _: Any) -> None:
--- a/flaxstep/lab/play.py
+++ b/flaxstep/lab/play.py
@@ -109,11 +109,6 @@
     return msgspec.json.encode(run) + b"\n"
 
 
-def read_run(path: Path) -> Run:
-    """A result file; msgspec.DecodeError if it is none."""
-    return msgspec.json.decode(path.read_bytes(), type=Run)
-
-
 if __name__ == "__main__":  # a revision's module, for play_with
     file, number, revision_name = sys.argv[1:]
     result = play(read_scenario(Path(file)), int(number), player(f"rev {revision_name}"))
--- a/flaxstep/lab/world.py
+++ b/flaxstep/lab/world.py
@@ -291,7 +291,6 @@
     def __init__(self, world: World) -> None:
         self.world = world
         self.chance = world.streams.chance("peers")
-        self.unheard = False
 
     def send(self, sender: Process, peer: int, data: bytes) -> None:
         world, peers = self.world, self.world.scenario.peers
@@ -301,7 +300,7 @@
         for target in targets:
             if target == sender.node and peer == ALL:
                 continue
-            lost = self.chance() < peers.lost or self.unheard
+            lost = self.chance() < peers.lost
             late = self.chance.between(*peers.delay_ms)
             if lost or world.is_cut(sender.zone, world.plan.node_zones[target]):
                 continue
@@ -404,7 +403,7 @@
     @staticmethod
     def capacity_of(server: Server) -> float:
         """ms of standard work a ms that a server can do as it is now."""
-        if not server.up or server.paused or server.unheard:
+        if not server.up or server.paused:
             return 0.0
         slower = server.choke.slower if server.choked else 1.0
         return server.capacity * server.warmth() * (1.0 - server.taken) / server.slow / slower
@@ -421,12 +420,9 @@
         """A server has answered, or its connection broke."""
         owner, plan = attempt.owner, self.servers[attempt.server].plan
         way = self.one_way(owner.zone, plan.zone)
-        if not self.is_cut(owner.zone, plan.zone) and not self.servers[attempt.server].unheard:
+        if not self.is_cut(owner.zone, plan.zone):
             self.engine.after(way, owner.ended, attempt, result)
 
-    def reported(self, server: Server) -> int:
-        return server.held
-
     def honours(self, first: int, part: float) -> bool:
         """Whether the client of a first try heeds Retry-After; the same under any policy."""
         return (first * 2246822519 >> 5) % 1000 < 1000 * part
