Part the lab's circle: events know the world, the world knows nodes, nodes know a protocol

Need: events.py, host.py and world.py imported one another, two of them under TYPE_CHECKING and one inside a function; the rig is to use the lab's parts one by one.

--- a/flaxstep/lab/events.py
+++ b/flaxstep/lab/events.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable
 from functools import partial
-from typing import TYPE_CHECKING
 
 import numpy as np
 
@@ -12,9 +11,7 @@
 from flaxstep.lab.draw import Happening
 from flaxstep.lab.farm import Server
 from flaxstep.lab.host import Process
-
-if TYPE_CHECKING:
-    from flaxstep.lab.world import World
+from flaxstep.lab.world import World
 
 CALL_MS = 5.0  # between an operator's calls at one node and the next
 RESTART_AFTER = 1000.0  # ms from the cordon to the restart of the server
@@ -242,3 +239,7 @@
     "upgrade": upgrade,
     "restart": restart,
 }
+
+
+def begin(world: World, what: Happening) -> None:
+    HAPPENINGS[what.name](world, what)
--- a/flaxstep/lab/host.py
+++ b/flaxstep/lab/host.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import Any, Protocol
 
 from cottonhall import interface
 from cottonhall.interface import (
@@ -24,10 +24,11 @@
     Timer,
     Withdrawn,
 )
-from flaxstep.lab.farm import NEVER, Attempt
-
-if TYPE_CHECKING:
-    from flaxstep.lab.world import World
+from flaxstep.lab.draw import Plan
+from flaxstep.lab.engine import Engine
+from flaxstep.lab.farm import NEVER, Attempt, Server, Tally
+from flaxstep.lab.judge import Judge
+from flaxstep.lab.scenario import Scenario
 
 PROBE_TIME = 120.0  # ms after which a probe has failed
 
@@ -57,10 +58,64 @@
     maybe_ran: dict[int, tuple[float, Attempt]] = field(default_factory=dict)
 
 
+class Callers(Protocol):
+    """What a process tells the clients."""
+
+    def served(self, request: Try) -> None: ...
+    def refused(self, request: Try, wait: float, process: Process) -> None: ...
+    def failed(self, request: Try) -> None: ...
+    def unreachable(self, request: Try) -> None: ...
+    def cut_off(self, request: Try) -> None: ...
+
+
+class Lists(Protocol):
+    """Discovery, as a process calls it."""
+
+    def call(self, process: Process) -> None: ...
+
+
+class Datagrams(Protocol):
+    """The way to other nodes."""
+
+    def send(self, sender: Process, peer: int, data: bytes) -> None: ...
+
+
+class Farm(Protocol):
+    """What a process meets round it: the day, the servers, the network, and those that it talks to."""
+
+    scenario: Scenario
+    plan: Plan
+    engine: Engine
+    judge: Judge
+    tally: Tally
+    servers: list[Server]
+    by_id: dict[int, Server]
+    logs: list[tuple[float, int, str]]
+    client_ms: float
+    dial_ms: float
+    idle_ms: float
+    handshake_rtts: float
+    handshake_work: float
+    cancel_running: bool
+
+    @property
+    def clients(self) -> Callers: ...
+    @property
+    def discovery(self) -> Lists: ...
+    @property
+    def peers(self) -> Datagrams: ...
+
+    def make_policy(self, node: int, seed: int) -> Module: ...
+    def knows(self, event: str) -> bool: ...
+    def one_way(self, zone: int, other: int) -> float: ...
+    def is_cut(self, zone: int, other: int) -> bool: ...
+    def breach(self, rule: str, node: int, request: Try, server: int, what: str) -> None: ...
+
+
 class Process:
     """One process of a node."""
 
-    def __init__(self, world: World, node: int, seed: int) -> None:
+    def __init__(self, world: Farm, node: int, seed: int) -> None:
         self.world, self.node, self.zone = world, node, world.plan.node_zones[node]
         self.alive, self.stopping = True, False
         self.held: dict[int, Try] = {}
--- a/flaxstep/lab/play.py
+++ b/flaxstep/lab/play.py
@@ -8,6 +8,7 @@
 import sys
 import tarfile
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 
 import msgspec
@@ -15,6 +16,7 @@
 from cottonhall import interface
 from cottonhall.interface import Settings
 from cottonhall.rules import Policy
+from flaxstep.lab.events import begin
 from flaxstep.lab.host import Module
 from flaxstep.lab.scenario import Scenario, read_scenario
 from flaxstep.lab.world import MakePolicy, Run, World
@@ -55,7 +57,7 @@
 def play(scenario: Scenario, seed: int, module: Player) -> Run:
     """One day. The same scenario, seed and module give the same result, to the byte."""
     world = World(scenario, seed, module.make, module.knows)
-    world.play()
+    world.play(partial(begin, world))
     return world.result(module.name)
 
 
--- a/flaxstep/lab/world.py
+++ b/flaxstep/lab/world.py
@@ -313,7 +313,7 @@
     """A day of the farm, ready to be played once."""
 
     def __init__(self, scenario: Scenario, seed: int, make: MakePolicy, knows: Callable[[str], bool]) -> None:
-        self.scenario, self.make, self.knows = scenario, make, knows
+        self.scenario, self.make, self._knows = scenario, make, knows
         self.plan: Plan = draw_plan(scenario, seed)
         self.engine, self.streams = Engine(), Streams(seed)
         plan, figures = self.plan, self.plan.figures
@@ -387,6 +387,10 @@
         names = Settings.__dataclass_fields__
         return Settings(**{name: value for name, value in known.items() if name in names})
 
+    def knows(self, event: str) -> bool:
+        """Whether the module that plays knows an event."""
+        return self._knows(event)
+
     def make_policy(self, node: int, seed: int) -> Module:
         policy = self.make(self.settings(node), seed)
         if hasattr(policy, "view"):
@@ -446,10 +450,11 @@
 
     # The day.
 
-    def play(self) -> None:
-        """From the first try to the last answer."""
+    def play(self, begin: Callable[[Happening], None]) -> None:
+        """From the first try to the last answer; `begin` makes what goes wrong, or is done, happen."""
         for happening in self.plan.acts + self.plan.troubles:
-            self.engine.at(happening.at, self.happen, happening)
+            self.engine.at(happening.at, self.note, happening)
+            self.engine.at(happening.at, begin, happening)
         for i, server in enumerate(self.servers):
             self.engine.at(TICK * (i + 1) / len(self.servers), self.look_at, server)
         self.engine.at(0.0, self.sample)
@@ -462,12 +467,9 @@
         server.look()
         self.engine.after(TICK, self.look_at, server)
 
-    def happen(self, happening: Happening) -> None:
-        from flaxstep.lab.events import HAPPENINGS
-
+    def note(self, happening: Happening) -> None:
         begin = happening.at / 1000
         self.happened.append((happening.name, begin, begin + happening.length / 1000))
-        HAPPENINGS[happening.name](self, happening)
 
     def sample(self) -> None:
         out = {i for group in self.processes for process in group for i in process.cordoned}
