Stand-ins, links and a stage: a farm of processes with faults between them

Need: nothing in the repository could start several processes of the program and disturb what is between them.

--- a/flaxstep/lab/draw.py
+++ b/flaxstep/lab/draw.py
@@ -10,7 +10,8 @@
 
 from flaxstep.lab.engine import Streams
 from flaxstep.lab.farm import ChokePlan, ServerPlan
-from flaxstep.lab.scenario import Act, Range, Scenario, Trouble
+from flaxstep.lab.scenario import Act, Scenario, Trouble
+from flaxstep.lab.table import Range
 
 NOISE = 1 << 14  # numbers in the table of noise that attempts look up; a power of two
 Floats = npt.NDArray[np.float64]
--- a/flaxstep/lab/play.py
+++ b/flaxstep/lab/play.py
@@ -63,6 +63,8 @@
 
 def play_with(policy: str, scenario: Scenario, path: Path, seed: int) -> Run:
     """One day with a module by name. A revision's has a process of its own: its interface differs."""
+    if scenario.rig.faults:
+        raise NotPlayable(f"{path}: rig.faults: the lab has no links and processes; 'flaxstep rig play' has")
     from flaxstep.lab.baselines import BASELINES
 
     if policy == HERE or policy in BASELINES:
--- a/flaxstep/lab/scenario.py
+++ b/flaxstep/lab/scenario.py
@@ -12,23 +12,14 @@
 import msgspec
 from msgspec import Meta
 
-Positive = Annotated[float, Meta(gt=0)]
-Natural = Annotated[float, Meta(ge=0)]
-Part = Annotated[float, Meta(ge=0, le=1)]
-Span = tuple[float, float]
-# A figure, or a range from which each seed draws. That none is below 0 is checked by hand: with bounds inside
-# a union, msgspec 0.19 to 0.23 crash in the garbage collector.
-Range = float | tuple[float, float]
+from flaxstep.lab.rigging import Rigging, fault_error
+from flaxstep.lab.table import Natural, Part, Positive, Range, Span, Table
 
 
 class ScenarioError(Exception):
     """A scenario that can't be played: file, key and what is allowed, in one line."""
 
 
-class Table(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A table of a scenario. An unknown key is an error: it would be a figure that nobody applies."""
-
-
 class Kind(Table, frozen=True):
     """A model of job server."""
 
@@ -241,6 +232,7 @@
     tenants: list[Tenant] = []
     troubles: list[Trouble] = []
     acts: list[Act] = []
+    rig: Rigging = Rigging()  # what only processes and sockets have
 
 
 def read_scenario(path: Path) -> Scenario:
@@ -287,6 +279,9 @@
             raise ScenarioError(f"troubles[{i}].size: for {trouble.name} at most {top:g}")
         if high(trouble.part) > 1:
             raise ScenarioError(f"troubles[{i}].part: at most 1")
+    for i, fault in enumerate(scenario.rig.faults):
+        if error := fault_error(fault, nodes, servers, scenario.fleet.zones, scenario.rig.regions):
+            raise ScenarioError(f"rig.faults[{i}].{error}")
 
 
 def figures(where: str, value: Any) -> list[tuple[str, tuple[float, float]]]:
--- /dev/null
+++ b/flaxstep/lab/table.py
@@ -0,0 +1,20 @@
+"""What the tables of a scenario are made of: figures with bounds, and ranges from which each seed draws."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+Positive = Annotated[float, Meta(gt=0)]
+Natural = Annotated[float, Meta(ge=0)]
+Part = Annotated[float, Meta(ge=0, le=1)]
+Span = tuple[float, float]
+# A figure, or a range from which each seed draws. That none is below 0 is checked by hand: with bounds inside
+# a union, msgspec 0.19 to 0.23 crash in the garbage collector.
+Range = float | tuple[float, float]
+
+
+class Table(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A table of a scenario. An unknown key is an error: it would be a figure that nobody applies."""
--- /dev/null
+++ b/flaxstep/rig/__init__.py
@@ -0,0 +1,1 @@
+"""The rig: many processes of the program, with faults between them, and a judge of what happened."""
