A judge for the rig that puts records together and names each breach; flaxstep rig play

Need: a play's processes each see a part; a lost answer, a second run or a send past the grace shows only when what links, servers, clients, discovery and the rig saw is held side by side. 'rig play' plays a scenario and says so. A late answer was taken for one in time at first, as the wait for it was cancelled with the try's; found by the planted silence.

--- a/flaxstep/cli.py
+++ b/flaxstep/cli.py
@@ -12,27 +12,23 @@
 from rich.console import Console
 from rich.table import Table
 
+from flaxstep.cli_rig import rig
 from flaxstep.lab.play import NotPlayable, encode, play_with
 from flaxstep.lab.scenario import ScenarioError, read_scenario
 from flaxstep.lab.world import Run
+from flaxstep.refusal import Refusal
 
 CASES = ("in_time", "late", "unserved", "refused", "failed", "given_up")
 
 
-class Refusal(click.ClickException):
-    """What was asked can't be done: one line, exit code 2."""
-
-    exit_code = 2
-
-    def show(self, file: object = None) -> None:
-        click.echo(f"flaxstep: {self.format_message()}", err=True)
-
-
 @click.group()
 def main() -> None:
     """flaxstep: a worth-aware proxy, and the tools round it."""
 
 
+main.add_command(rig)
+
+
 @main.group()
 def lab() -> None:
     """Days of the farm in virtual time, with the real decisions."""
--- a/flaxstep/rig/clients.py
+++ b/flaxstep/rig/clients.py
@@ -143,7 +143,7 @@
                         round(one.due, 3), fresh, round(one.began, 3),
                     )
                 )  # fmt: skip
-                status = await connection.answer
+                status = await asyncio.shield(connection.answer)  # it may still come when time is over
         except TimeoutError:
             if one.connection is not None:
                 self.spawn(self.hear_out(one, one.connection, ends))
--- a/flaxstep/rig/play.py
+++ b/flaxstep/rig/play.py
@@ -35,6 +35,11 @@
             await stage.open()
             await stage.begin()
             await run_steps(stage, Timetable(scenario, stage.plan).steps, progress)
+    except ExceptionGroup as group:
+        failed, _ = group.split(RigError)
+        if failed is None:
+            raise
+        raise RigError(str(failed.exceptions[0])) from None
     finally:
         loop.remove_signal_handler(signal.SIGTERM)
 
--- a/flaxstep/rig/stage.py
+++ b/flaxstep/rig/stage.py
@@ -160,7 +160,7 @@
         log = self.folder / f"node-{node}-{count}.log"
         child = await Child.start(name, shell_command(self.run), log, environment)
         self.children[name], self.doors[name] = child, door
-        self.note("started", name)
+        self.note("started", name, "" if keep else "empty folder")
         await self.ready(child, door, log)
         self.note("ready", name)
         await self.children["links"].call("up", callee=name)
--- /dev/null
+++ b/flaxstep/rig/story.py
@@ -0,0 +1,203 @@
+"""The records of a play put together: each try with its node and answer, each attempt with its way and its
+end.
+
+No process saw all of it. The links saw when a node wrote and closed, job servers what came whole and when
+they were done, clients what came back, the front which node a connection went to, discovery what it told, the
+rig what it did.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from flaxstep.lab.draw import Plan
+from flaxstep.rig.farm_config import names
+from flaxstep.rig.links import Fault
+from flaxstep.rig.record import (
+    Answered,
+    Asked,
+    Began,
+    Closed,
+    Dealt,
+    Ended,
+    Fell,
+    Happened,
+    Held,
+    Record,
+    Told,
+    Turn,
+)
+
+FOREVER = float("inf")
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One request that came whole to a job server."""
+
+    began: Began
+    node: int  # -1: unknown
+    first: float  # when the node began to write it
+    delay: float  # ms that the link added
+    ended: float = FOREVER  # at the server, or when the node closed its connection
+    result: str = ""
+
+    @property
+    def ran(self) -> bool:
+        return self.result != "full" and not self.began.repeat
+
+
+@dataclass(slots=True)
+class TryStory:
+    """One try of a client, as it was written whole."""
+
+    asked: Asked
+    node: int
+    answered: Answered | None = None
+    attempts: list[Attempt] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Span:
+    start: float
+    end: float = FOREVER
+
+    def meets(self, start: float, end: float) -> bool:
+        return self.start < end and start < self.end
+
+
+@dataclass(slots=True)
+class Story:
+    plan: Plan
+    tries: dict[str, TryStory] = field(default_factory=dict)
+    strangers: list[Attempt] = field(default_factory=list)  # requests that no client sent
+    told: dict[int, list[Told]] = field(default_factory=lambda: defaultdict(list))
+    happened: list[Happened] = field(default_factory=list)
+    fell: list[Fell] = field(default_factory=list)
+    held: dict[int, list[Held]] = field(default_factory=lambda: defaultdict(list))
+    faults: list[tuple[Fault, Span]] = field(default_factory=list)
+    away: dict[int, list[Span]] = field(default_factory=lambda: defaultdict(list))  # a node did not run
+    starts: dict[int, list[Happened]] = field(default_factory=lambda: defaultdict(list))
+    regions: dict[str, list[int]] = field(default_factory=dict)
+
+    def disturbed(self, caller: str, callee: str, start: float, end: float) -> bool:
+        """Whether the link between two processes was at fault in that time."""
+        ends = [set(names(name, self.plan, self.regions)) for name in (caller, callee)]
+        return any(any(fault.on(*ends)) and span.meets(start, end) for fault, span in self.faults)
+
+    def was_away(self, node: int, start: float, end: float) -> bool:
+        """Whether a node was killed, stopped or told to end in that time, or before and not back yet."""
+        return any(span.meets(start, end) for span in self.away[node])
+
+
+def tell(records: Iterable[Record], plan: Plan, regions: dict[str, list[int]]) -> Story:
+    """The story of a play's records, in whatever order they come."""
+    story = Story(plan, regions=regions)
+    kinds: dict[type, list[Record]] = defaultdict(list)
+    for record in records:
+        kinds[type(record)].append(record)
+    for found in kinds.values():
+        found.sort(key=lambda record: record.at)
+    story.happened = [r for r in kinds[Happened] if isinstance(r, Happened)]
+    story.fell = [r for r in kinds[Fell] if isinstance(r, Fell)]
+    for record in kinds[Told]:
+        if isinstance(record, Told):
+            story.told[record.node].append(record)
+    for record in kinds[Held]:
+        if isinstance(record, Held):
+            story.held[record.server].append(record)
+    follow_faults(story)
+    follow_nodes(story)
+    join_tries(story, kinds)
+    join_attempts(story, kinds)
+    return story
+
+
+def follow_faults(story: Story) -> None:
+    """When each fault of links began and ended."""
+    open_faults: dict[tuple[str, str, str], Span] = {}
+    for line in story.happened:
+        name, _, what = line.what.partition(" ")
+        key = (name, line.whom, line.note)
+        if what == "begins" and " - " in line.whom:
+            spec = {"name": name, "between": line.whom.split(" - "), "way": line.note, "size": 1, "jitter": 0}
+            open_faults[key] = Span(line.at)
+            story.faults.append((Fault(spec), open_faults[key]))
+        elif what == "ends" and key in open_faults:
+            open_faults.pop(key).end = line.at
+
+
+def follow_nodes(story: Story) -> None:
+    """When each node did not run; one that was told to end is away until it is ready again."""
+    since: dict[int, Span] = {}
+    for line in story.happened:
+        kind, _, number = line.whom.partition(":")
+        if kind != "node":
+            continue
+        node = int(number)
+        if line.what == "started":
+            story.starts[node].append(line)
+        if line.what in ("killed", "stopped", "term") and line.note != "the old process":
+            if node not in since:
+                since[node] = Span(line.at)
+                story.away[node].append(since[node])
+        elif line.what in ("ready", "goes on") and node in since:
+            since.pop(node).end = line.at
+
+
+def join_tries(story: Story, kinds: dict[type, list[Record]]) -> None:
+    dealt: dict[int, list[Dealt]] = defaultdict(list)
+    for record in kinds[Dealt]:
+        if isinstance(record, Dealt):
+            dealt[record.port].append(record)
+    for record in kinds[Asked]:
+        if isinstance(record, Asked):
+            before = [line for line in dealt[record.port] if line.at <= record.at]
+            story.tries[record.id] = TryStory(record, before[-1].node if before else -1)
+    for record in kinds[Answered]:
+        if isinstance(record, Answered) and record.id in story.tries:
+            one = story.tries[record.id]
+            one.answered = one.answered or record
+
+
+def join_attempts(story: Story, kinds: dict[type, list[Record]]) -> None:
+    turns: dict[tuple[str, int, int], list[Turn]] = defaultdict(list)
+    for record in kinds[Turn]:
+        if isinstance(record, Turn):
+            turns[record.callee, record.port, record.turn].append(record)
+    closed: dict[tuple[str, int], list[float]] = defaultdict(list)
+    for record in kinds[Closed]:
+        if isinstance(record, Closed) and record.by == record.caller:
+            closed[record.callee, record.port].append(record.at)
+    ended: dict[tuple[int, int, int, str], Ended] = {}
+    for record in kinds[Ended]:
+        if isinstance(record, Ended):
+            ended[record.server, record.port, record.turn, record.id] = record
+    killed: dict[str, list[float]] = defaultdict(list)
+    for line in story.happened:
+        if line.what == "killed":
+            killed[line.whom].append(line.at)
+    for record in kinds[Began]:
+        if not isinstance(record, Began):
+            continue
+        name = f"server:{record.server}"
+        ways = [turn for turn in turns[name, record.port, record.turn] if turn.first <= record.at]
+        way = ways[-1] if ways else None
+        node = int(way.caller.partition(":")[2]) if way else -1
+        attempt = Attempt(record, node, way.first if way else record.first, way.delay if way else 0.0)
+        end = ended.get((record.server, record.port, record.turn, record.id))
+        if end is not None:
+            attempt.ended, attempt.result = end.at, end.result
+        for times in (closed[name, record.port], killed[name]):
+            later = bisect_right(times, record.at)
+            if later < len(times):
+                attempt.ended = min(attempt.ended, times[later])
+        if record.id in story.tries:
+            story.tries[record.id].attempts.append(attempt)
+        else:
+            story.strangers.append(attempt)
+    for one in story.tries.values():
+        one.attempts.sort(key=lambda attempt: attempt.first)
--- /dev/null
+++ b/tests/rigs.py
@@ -0,0 +1,116 @@
+"""Small farms on the rig for tests: a scenario, a play with what is done in it, and its story."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from flaxstep.lab.scenario import Scenario, read_scenario
+from flaxstep.rig.record import read_records
+from flaxstep.rig.result import Result, judge_play
+from flaxstep.rig.stage import Stage
+from flaxstep.rig.story import Story, tell
+
+ROOT = Path(__file__).parent.parent
+NODE = f"exec {sys.executable} -B -m badgercart"
+SMALL = """
+name = "small"
+length_s = {seconds}
+[fleet]
+nodes = {nodes}
+servers = 6
+zones = 2
+cell_size = 2
+server_skew = 0
+[load]
+of_capacity = {load}
+swing = 0
+[choke]
+share = 0
+[discovery]
+add_s = 0.05
+notice_s = 0.1
+[net]
+cross_ms = 1
+[clients]
+retries = 2
+backoff_ms = 20
+[[kinds]]
+name = "plain"
+share = 1
+speed = 1.5
+slots_per_core = 4
+error_rate = 0
+cold_from = 0.3
+cold_s = 10
+[[classes]]
+name = "build"
+share = 0.5
+work_ms = 20
+aim_ms = 250
+deadline_ms = 1200
+worth = 5
+effect = "unsafe"
+[[classes]]
+name = "record"
+share = 0.5
+work_ms = 20
+aim_ms = 250
+deadline_ms = 1200
+worth = 15
+effect = "keyed"
+group = "cell"
+window_ms = 500
+"""
+Acts = Callable[[Stage], Awaitable[None]]
+
+
+@dataclass
+class Played:
+    scenario: Scenario
+    story: Story
+    result: Result
+
+    @property
+    def broken(self) -> set[str]:
+        return {breach.rule for breach in self.result.breaches}
+
+
+async def rig(
+    folder: Path, acts: Acts | None = None, run: str = NODE, extra: str = "", **figures: float
+) -> Played:
+    """Play a small farm; `acts` runs from the play's beginning. Whatever happens, no process is left."""
+    folder.mkdir(exist_ok=True)
+    path = folder / "scenario.toml"
+    path.write_text(SMALL.format(**{"seconds": 3, "nodes": 2, "load": 0.4} | figures) + extra)
+    scenario = read_scenario(path)
+    async with Stage(scenario, path, 1, folder / "play", run) as stage:
+        await stage.open()
+        await stage.begin()
+        if acts is not None:
+            await acts(stage)
+        while played(stage) < stage.plan.length or await stage.children["clients"].call("left"):
+            await asyncio.sleep(0.05)
+        children = [child.process.pid for child in [*stage.children.values(), *stage.leaving]]
+    for pid in children:
+        assert not Path(f"/proc/{pid}").exists()
+    records = list(read_records(folder / "play"))
+    story = tell(records, stage.plan, scenario.rig.regions)
+    return Played(scenario, story, judge_play(scenario, 1, folder / "play"))
+
+
+def played(stage: Stage) -> float:
+    """ms since the play began."""
+    return stage.recorder.now()
+
+
+def alive(pid: int) -> bool:
+    try:
+        os.kill(pid, 0)
+    except ProcessLookupError:
+        return False
+    return Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0] != "Z"
