Show the node's hard cases on the rig: cuts, stops, kills, clocks and disks that go wrong

Need: the issue names what tests must show with processes and links that go wrong. Change: tests for a one-way cut either way, a server stopped past every deadline, a node killed with requests out at three servers, silence and resets between a request's last byte and its answer, clocks 6 s apart under a cordon with a restart, a full disk, an upgrade under load, and a rig that is killed. Faults of links have a record of their own: taken for a line about a node, 'node:0 - zone:1' ended the judge with a ValueError.

--- a/flaxstep/rig/links.py
+++ b/flaxstep/rig/links.py
@@ -15,7 +15,7 @@
 
 from flaxstep.lab.engine import Streams
 from flaxstep.rig.pipe import CLEAR, Effect, Pair, Side, listener
-from flaxstep.rig.record import Closed, Happened, Recorder, Turn
+from flaxstep.rig.record import Closed, Disturbed, Recorder, Turn
 from flaxstep.rig.standin import Address, StandIn, loopback, run
 
 BACKLOG = 1024
@@ -233,18 +233,17 @@
 
     def do_fault(self, number: int, spec: dict[str, Any]) -> None:
         self.faults[number] = Fault(spec)
-        self.note(spec["name"] + " begins", spec)
+        self.note(spec, True)
         self.settle()
 
     def do_heal(self, number: int, spec: dict[str, Any]) -> None:
         self.faults.pop(number, None)
-        self.note(spec["name"] + " ends", spec)
+        self.note(spec, False)
         self.settle()
 
-    def note(self, what: str, spec: dict[str, Any]) -> None:
-        self.recorder.write(
-            Happened(self.recorder.now(), what, " - ".join(spec["between"]), note=spec["way"])
-        )
+    def note(self, spec: dict[str, Any], begins: bool) -> None:
+        one, other = spec["between"]
+        self.recorder.write(Disturbed(self.recorder.now(), spec["name"], one, other, spec["way"], begins))
 
     def do_down(self, callee: str) -> None:
         self.gone.add(callee)
--- a/flaxstep/rig/record.py
+++ b/flaxstep/rig/record.py
@@ -131,17 +131,38 @@
 
 
 class Happened(Line, frozen=True):
-    """Something was done to a process or a link, or by staff: what, to whom, and until when as planned."""
+    """Something was done to a process, or by staff: what, and to whom."""
 
     what: str
     whom: str
-    until: float = 0.0
     note: str = ""
 
 
+class Disturbed(Line, frozen=True):
+    """A fault of links between two names begins, or ends."""
+
+    name: str
+    one: str
+    other: str
+    way: str
+    begins: bool
+
+
 Record = (
-    Asked | Answered | Dealt | Believed | Began | Ended | Fell | Held | Turn | Closed | Told | Happened
-)  # fmt: skip
+    Asked
+    | Answered
+    | Dealt
+    | Believed
+    | Began
+    | Ended
+    | Fell
+    | Held
+    | Turn
+    | Closed
+    | Told
+    | Happened
+    | Disturbed
+)
 _encoder = msgspec.json.Encoder()
 _decoder: msgspec.json.Decoder[Record] = msgspec.json.Decoder(Record)
 
--- a/flaxstep/rig/story.py
+++ b/flaxstep/rig/story.py
@@ -22,6 +22,7 @@
     Began,
     Closed,
     Dealt,
+    Disturbed,
     Ended,
     Fell,
     Happened,
@@ -109,25 +110,27 @@
     for record in kinds[Held]:
         if isinstance(record, Held):
             story.held[record.server].append(record)
-    follow_faults(story)
+    follow_faults(story, kinds[Disturbed])
     follow_nodes(story)
     join_tries(story, kinds)
     join_attempts(story, kinds)
     return story
 
 
-def follow_faults(story: Story) -> None:
+def follow_faults(story: Story, lines: list[Record]) -> None:
     """When each fault of links began and ended."""
-    open_faults: dict[tuple[str, str, str], Span] = {}
-    for line in story.happened:
-        name, _, what = line.what.partition(" ")
-        key = (name, line.whom, line.note)
-        if what == "begins" and " - " in line.whom:
-            spec = {"name": name, "between": line.whom.split(" - "), "way": line.note, "size": 1, "jitter": 0}
-            open_faults[key] = Span(line.at)
-            story.faults.append((Fault(spec), open_faults[key]))
-        elif what == "ends" and key in open_faults:
-            open_faults.pop(key).end = line.at
+    running: dict[tuple[str, str, str, str], Span] = {}
+    for line in lines:
+        if not isinstance(line, Disturbed):
+            continue
+        key = (line.name, line.one, line.other, line.way)
+        if not line.begins:
+            if key in running:
+                running.pop(key).end = line.at
+            continue
+        running[key] = Span(line.at)
+        spec = {"name": line.name, "between": [line.one, line.other], "way": line.way, "size": 1, "jitter": 0}
+        story.faults.append((Fault(spec), running[key]))
 
 
 def follow_nodes(story: Story) -> None:
--- /dev/null
+++ b/tests/test_rig_faults.py
@@ -0,0 +1,192 @@
+"""The node among processes and links that go wrong: what it must keep, judged from what every side saw."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from flaxstep.rig.stage import Stage
+from flaxstep.rig.story import Attempt
+from tests.rigs import ROOT, Played, alive, rig
+
+BOTH = {"way": "both", "size": 1.0, "jitter": 0.0}
+OUT_WAIT = 10.0  # s in which servers must hold something, under a steady load
+
+
+def link(name: str, one: str, other: str, way: str = "both") -> dict[str, object]:
+    return {"name": name, "between": [one, other]} | BOTH | {"way": way}
+
+
+def ran(play: Played, cls: int) -> list[list[Attempt]]:
+    """The attempts that ran, by try of a class."""
+    tries = [one for one in play.story.tries.values() if one.asked.cls == cls]
+    return [[attempt for attempt in one.attempts if attempt.ran] for one in tries]
+
+
+async def hold(stage: Stage, servers: range) -> None:
+    """Servers take what comes and answer nothing, until each of them has something out."""
+    for server in servers:
+        await stage.set_server(server, paused=True)
+
+    def holding(server: int) -> bool:
+        text = (stage.folder / f"server-{server}.jsonl").read_text()
+        return text.count('"Began"') > text.count('"Ended"')
+
+    async with asyncio.timeout(OUT_WAIT):
+        while not all(holding(server) for server in servers):
+            await asyncio.sleep(0.02)
+
+
+@pytest.mark.parametrize("way", ["there", "back"])
+def test_a_one_way_cut_of_a_zone_costs_no_rule_and_heals(tmp_path: Path, way: str) -> None:
+    async def acts(stage: Stage) -> None:
+        spec = link("silent", "node:0", "zone:1", way)
+        await asyncio.sleep(0.5)
+        await stage.fault(1, spec)
+        await asyncio.sleep(1.2)
+        await stage.heal(1, spec)
+
+    play = asyncio.run(rig(tmp_path, acts))
+    assert not play.result.breaches
+    cut = [
+        a for one in play.story.tries.values() for a in one.attempts if a.node == 0 and a.began.server >= 3
+    ]
+    # Its servers are in use before the cut and again after it.
+    assert min(a.first for a in cut) < 500 and max(a.first for a in cut) > 1700
+    assert play.result.verdict.served > 0.6
+
+
+def test_a_server_stopped_past_every_deadline_goes_on_and_breaks_nothing(tmp_path: Path) -> None:
+    async def acts(stage: Stage) -> None:
+        await asyncio.sleep(0.4)
+        await stage.stop("server:1")
+        await asyncio.sleep(1.5)  # the longest deadline is 1.2 s
+        await stage.go_on("server:1")
+
+    play = asyncio.run(rig(tmp_path, acts, seconds=4))
+    assert not play.result.breaches
+    assert max(len(attempts) for attempts in ran(play, 0)) == 1
+    late = [line for line in play.story.held[1] if line.at > 1900]
+    assert late and play.result.verdict.served > 0.7
+
+
+def test_a_node_killed_with_requests_out_at_three_servers_and_unsafe_ones_run_once(tmp_path: Path) -> None:
+    async def acts(stage: Stage) -> None:
+        await asyncio.sleep(0.4)
+        await hold(stage, range(3))
+        await stage.kill("node:0")
+        for server in range(3):
+            await stage.set_server(server, paused=False)
+        await stage.start("node:0", keep=False)
+
+    play = asyncio.run(rig(tmp_path, acts))
+    assert not play.result.breaches
+    [killed] = [line.at for line in play.story.happened if line.what == "killed"]
+    cut = [
+        a for one in play.story.tries.values() for a in one.attempts if a.node == 0 and a.began.at < killed
+    ]
+    assert {a.began.server for a in cut if a.ended >= killed} >= {0, 1, 2}  # that it held when it died
+    assert max(len(attempts) for attempts in ran(play, 0)) == 1
+    assert any(one.node == 0 and one.asked.at > killed for one in play.story.tries.values())
+
+
+@pytest.mark.parametrize("name", ["silent", "reset"])
+def test_a_fault_between_the_last_byte_of_a_request_and_the_first_of_its_answer(
+    tmp_path: Path, name: str
+) -> None:
+    async def acts(stage: Stage) -> None:
+        spec = link(name, "nodes", "servers")
+        await asyncio.sleep(0.4)
+        await hold(stage, range(6))
+        await stage.fault(1, spec)
+        for server in range(6):
+            await stage.set_server(server, paused=False)
+        await asyncio.sleep(0.4)
+        await stage.heal(1, spec)
+
+    play = asyncio.run(rig(tmp_path, acts))
+    assert not play.result.breaches
+    [(_, span)] = play.story.faults
+    began = span.start
+    held = [
+        one
+        for one in play.story.tries.values()
+        if any(a.ran and a.began.at < began < a.ended + 0.5 for a in one.attempts)
+    ]
+    assert held
+    for one in held:  # it has run: neither refused nor, if unsafe, sent again
+        assert one.answered is not None and one.answered.status not in (429, 503)
+        assert one.asked.cls or len(one.attempts) == 1
+
+
+def test_clocks_apart_by_3_s_and_a_cordon_with_a_restart(tmp_path: Path) -> None:
+    clocks = "".join(
+        f'[[rig.faults]]\nname = "clock"\nof = "node:{node}"\nat_s = 0\nsize = 3\nway = "{way}"\n'
+        for node, way in enumerate(("there", "back"))
+    )
+
+    async def acts(stage: Stage) -> None:
+        await asyncio.sleep(0.2)
+        await stage.cordon(0)
+        await stage.restart_server(0, down_s=0.2)
+        await asyncio.sleep(0.8)
+        await stage.uncordon(0)
+
+    play = asyncio.run(rig(tmp_path, acts, extra=clocks))
+    assert not play.result.breaches
+    logs = [(tmp_path / "play" / f"node-{node}-0.log").read_text().split(",")[0] for node in (0, 1)]
+    seconds = [int(text[17:19]) + 60 * int(text[14:16]) for text in logs]
+    assert (seconds[0] - seconds[1]) % 3600 in (5, 6, 7)  # what their logs say of one moment
+    back = [a for one in play.story.tries.values() for a in one.attempts if a.began.server == 0]
+    assert max(a.first for a in back) > 1000  # used again
+
+
+def test_a_full_disk_refuses_a_cordon_and_service_goes_on(tmp_path: Path) -> None:
+    disk = '[[rig.faults]]\nname = "disk"\nof = "node:0"\nat_s = 9\nsize = 0\n'
+
+    async def acts(stage: Stage) -> None:
+        for state, answers in (("full", {503, 200}), ("", {200})):
+            await stage.disk("node:0", state)
+            said = [await stage.ask(node, "POST", "cordon", "s-0002") for node in (0, 1)]
+            assert {status for status, _ in said} == answers
+
+    play = asyncio.run(rig(tmp_path, acts, extra=disk))
+    assert not play.result.breaches and play.result.verdict.served > 0.8
+
+
+def test_an_upgrade_under_load_loses_nothing_and_a_killed_rig_leaves_no_process(tmp_path: Path) -> None:
+    async def acts(stage: Stage) -> None:
+        await asyncio.sleep(0.3)
+        await stage.cordon(1)
+        await stage.upgrade(0)
+
+    play = asyncio.run(rig(tmp_path, acts, seconds=4))
+    assert not play.result.breaches
+    starts = [line for line in play.story.happened if line.whom == "node:0" and line.what == "ready"]
+    assert len(starts) == 2
+
+    command = [sys.executable, "-B", "-m", "flaxstep", "rig", "play", str(ROOT / "scenarios/hand-drain.toml")]
+    for number in (signal.SIGKILL, signal.SIGINT):
+        asyncio.run(end_rig(command, tmp_path / number.name, number))
+
+
+async def end_rig(command: list[str], folder: Path, number: signal.Signals) -> None:
+    """Start a play, end its rig as soon as its nodes run, and see that its children are gone."""
+    process = await asyncio.create_subprocess_exec(
+        *command, "--out", str(folder), stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL, cwd=ROOT
+    )
+    children: list[int] = []
+    async with asyncio.timeout(60):
+        while len(children) < 14:  # 9 servers, 2 nodes, links, discovery, front
+            await asyncio.sleep(0.05)
+            text = Path(f"/proc/{process.pid}/task/{process.pid}/children").read_text()
+            children = [int(word) for word in text.split()]
+        process.send_signal(number)
+        await process.wait()
+        while any(alive(pid) for pid in children):
+            await asyncio.sleep(0.05)
