flaxstep demo, its report, and flaxstep load: a farm at work from one command

Need: a new user had no command that shows a farm at work, and no load tool for any node. Change: 'demo' plays scenarios/demo.toml (3 nodes by the deploy file's run, 9 servers, 3 zones, a burst of 2.4 times, a server stopped, one out and back, a node emptied, a zone cut) and leaves one HTML file with inline SVG by matplotlib; 'load' sends open-loop load to any loopback node, latencies from the intended send in HDR histograms.

--- a/flaxstep/cli.py
+++ b/flaxstep/cli.py
@@ -12,7 +12,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from flaxstep.cli_rig import rig
+from flaxstep.cli_rig import demo_command, load_command, rig
 from flaxstep.lab.play import NotPlayable, encode, play_with
 from flaxstep.lab.scenario import ScenarioError, read_scenario
 from flaxstep.lab.world import Run
@@ -26,7 +26,9 @@
     """flaxstep: a worth-aware proxy, and the tools round it."""
 
 
+main.add_command(demo_command)
 main.add_command(rig)
+main.add_command(load_command)
 
 
 @main.group()
--- a/flaxstep/cli_rig.py
+++ b/flaxstep/cli_rig.py
@@ -1,4 +1,4 @@
-"""The commands that start processes: `rig play`."""
+"""The commands that start processes or call them: `rig play`, `demo`, `load`."""
 
 from __future__ import annotations
 
@@ -8,18 +8,22 @@
 from pathlib import Path
 
 import click
+import msgspec
 from rich.console import Console
 from rich.progress import BarColumn, Progress, TextColumn
 from rich.table import Table
 
 from flaxstep.lab.scenario import ScenarioError, read_scenario
 from flaxstep.refusal import Refusal
+from flaxstep.rig.child import ROOT
+from flaxstep.rig.load import Order, Summary, parse_class, parse_steps, parse_target, run_load
 from flaxstep.rig.play import play
+from flaxstep.rig.report import write_report
 from flaxstep.rig.result import Line, Result, judge_play, write_result
 from flaxstep.rig.stage import build
 from flaxstep.rig.standin import RigError
 
-CASES = ("in_time", "late", "refused", "failed", "unanswered")
+CASES = ("in_time", "late", "refused", "failed", "unserved")
 ENDED = 130  # exit code after Ctrl-C
 
 
@@ -41,6 +45,90 @@
     sys.exit(1 if result.broken else 0)
 
 
+@click.command("demo")
+@click.option("--seed", type=click.IntRange(min=0), default=1, show_default=True, help="Which day is drawn.")
+@click.option("--out", type=click.Path(path_type=Path), help="Folder for records, logs and the report.")
+def demo_command(seed: int, out: Path | None) -> None:
+    """A minute of a farm at work, all on this machine: three nodes, nine job servers in three zones.
+
+    A burst of 2.4 times, a server that stands still, one taken out and called back, a node emptied and back,
+    a zone cut off for five seconds. At its end: a table by class, and a report to open in a browser.
+    """
+    result = run_play(ROOT / "scenarios" / "demo.toml", seed, folder_for(out, "demo", seed))
+    sys.exit(1 if result.broken else 0)
+
+
+@click.command("load")
+@click.argument("urls", nargs=-1, required=True, metavar="URL...")
+@click.option("--rate", type=float, default=50.0, show_default=True, help="Requests a second, on average.")
+@click.option("--for", "seconds", type=float, default=10.0, show_default=True, help="Seconds.")
+@click.option("--steps", help="A timetable in place of --rate and --for: RATE:SECONDS[,RATE:SECONDS...]")
+@click.option(
+    "--class",
+    "classes",
+    multiple=True,
+    default=("load=safe",),
+    show_default=True,
+    help="NAME=EFFECT[:SHARE], with an effect of safe, keyed or unsafe; may be given several times.",
+)
+@click.option("--body", type=click.IntRange(0, 1 << 25), default=0, help="Bytes of requests that have one.")
+@click.option("--timeout-ms", type=click.FloatRange(1, 60_000), default=1000.0, show_default=True)
+@click.option("--tenant", default="", help="Tenant of the requests.")
+@click.option("--seed", type=click.IntRange(min=0), default=1, show_default=True)
+@click.option("--even", is_flag=True, help="Evenly spaced; otherwise by chance (Poisson).")
+@click.option("--json", "as_json", is_flag=True, help="The summary as JSON.")
+def load_command(
+    urls: tuple[str, ...],
+    rate: float,
+    seconds: float,
+    steps: str | None,
+    classes: tuple[str, ...],
+    body: int,
+    timeout_ms: float,
+    tenant: str,
+    seed: int,
+    even: bool,
+    as_json: bool,
+) -> None:
+    """Send open-loop load to nodes on this machine, and say how they answered. Loopback addresses only.
+
+    Latencies count from the time at which a request was meant to be sent. Exit code 1 if none was served.
+
+    Example: flaxstep load http://127.0.0.1:9000 --rate 200 --for 30 --class submit-build=unsafe
+    """
+    try:
+        order = Order(
+            targets=[parse_target(url) for url in urls],
+            classes=[parse_class(text) for text in classes],
+            steps=parse_steps(steps or f"{rate:g}:{seconds:g}"),
+            body=body,
+            timeout_ms=timeout_ms,
+            tenant=tenant,
+            seed=seed,
+            poisson=not even,
+        )
+    except RigError as error:
+        raise Refusal(str(error)) from None
+    summary = run_load(order)
+    if as_json:
+        click.echo(msgspec.json.encode(summary))
+    else:
+        show_load(summary)
+    sys.exit(0 if any(count.served for count in summary.classes) else 1)
+
+
+def show_load(summary: Summary) -> None:
+    columns = ("sent", "served", "refused", "failed", "late", "unsent")
+    times = ("p50", "p90", "p99", "p99.9", "max")
+    table = Table("class", *columns, *(f"{name} ms" for name in times))
+    for count in summary.classes:
+        took = (f"{count.latency_ms[t]:.1f}" if t in count.latency_ms else "" for t in times)
+        table.add_row(count.name, *(str(getattr(count, name)) for name in columns), *took)
+    console = Console(highlight=False, width=110)
+    console.print(table)
+    console.print(f"{summary.seconds:.1f} s; sent late by {summary.behind_ms:.1f} ms at most in 99 of 100")
+
+
 def folder_for(out: Path | None, name: str, seed: int) -> Path:
     """Where a play's files go: a folder of its own, never one that holds another play."""
     folder = out or Path("runs") / f"{name}-{seed}-{time.strftime('%Y%m%d-%H%M%S')}"
@@ -80,6 +168,7 @@
         sys.exit(ENDED)
     result = judge_play(scenario, seed, folder)
     write_result(result, folder)
+    write_report(result, folder)
     show_result(console, result, folder)
     return result
 
@@ -105,7 +194,7 @@
         place = f"node {breach.node}, request {breach.request or '-'}, server {breach.server}"
         console.print(f"broken: {breach.rule} at {breach.at / 1000:.3f} s, {place}: {breach.what}")
     console.print(f"rules broken {result.broken} times" if result.broken else "all rules kept")
-    console.print(f"kept in {folder}", soft_wrap=True)
+    console.print(f"report: {folder / 'report.html'}", soft_wrap=True)
 
 
 def served(line: Line) -> str:
