Play every fault of a scenario in one test; discovery can be down, and what can't start again is told

Need: a fault that named the front or discovery as killed would have failed only in mid-play. Change: kill, term and restart are for nodes and servers, 'down' is for discovery, and a scenario that asks otherwise is refused in one line. One play of 5 s has all six faults of links, six of processes, slow and large bodies, clients that leave early, an upgrade and an emptied node.

--- a/flaxstep/lab/rigging.py
+++ b/flaxstep/lab/rigging.py
@@ -11,6 +11,7 @@
 
 from flaxstep.lab.table import Natural, Part, Positive, Range, Table
 
+AGAIN = ("kill", "term", "restart")  # what can be started again afterwards: nodes and servers
 LINK_FAULTS = ("delay", "rate", "silent", "reset", "refuse", "hold")
 NAME = re.compile(r"(?:not )?(?:\*|nodes|servers|discovery|front|(node|server|zone):(\d+)|region:(\S+))")
 ONE = re.compile(r"(?:node|server):\d+|discovery|front")
@@ -22,9 +23,9 @@
     delay: bytes come `size` ms later, up to `jitter` ms more. rate: `size` bytes a second at most. silent:
     bytes vanish, connections stay open, new ones never come up. reset: what is open is reset, and what opens,
     as soon as bytes come. refuse: new connections are refused. hold: new connections never come up. kill,
-    stop (and go on), term, restart: a process; it is back after `for_s`, unless that is 0. clock: its clock
-    jumps by `size` s (`way` back: backwards); at 0 s it starts so. disk: its folder is full (`size` 0), or
-    fails at every write (1).
+    stop (and go on), term, restart: a process; it is back after `for_s`, unless that is 0. down: discovery
+    resets its calls. clock: a node's clock jumps by `size` s (`way` back: backwards); at 0 s it starts so.
+    disk: a node's folder is full (`size` 0), or fails at every write (1).
     """
 
     name: Literal[
@@ -38,6 +39,7 @@
         "stop",
         "term",
         "restart",
+        "down",
         "clock",
         "disk",
     ]
@@ -76,6 +78,10 @@
         return f"of: {fault.name} needs one process, as node:0, server:3, discovery or front"
     if fault.name in ("clock", "disk") and not fault.of.startswith("node:"):
         return f"of: {fault.name} is for nodes"
+    if fault.name in AGAIN and not fault.of.startswith(("node:", "server:")):
+        return f"of: {fault.name} is for nodes and servers"
+    if fault.name == "down" and fault.of != "discovery":
+        return "of: down is for discovery"
     most = {"node": nodes, "server": servers, "zone": zones}
     for key, text in [("between", end) for end in fault.between or ()] + [("of", fault.of)] * (
         not fault.between
--- a/flaxstep/rig/stage.py
+++ b/flaxstep/rig/stage.py
@@ -262,6 +262,9 @@
         line = entry(self.scenario, self.plan, server, lifecycle, unix_ms())
         await self.children["discovery"].call("announce", server=server, entry=line, late_s=late_s)
 
+    async def list_service(self, up: bool) -> None:
+        await self.children["discovery"].call("up" if up else "down")
+
     async def leave_server(self, server: int, late_s: float) -> None:
         self.note("leaves", f"server:{server}")
         await self.announce(server, "leaving", late_s)
--- a/flaxstep/rig/timetable.py
+++ b/flaxstep/rig/timetable.py
@@ -187,9 +187,12 @@
             self.add(at, "disk", name=fault.of, state="failing" if size else "full")
             if end is not None:
                 self.add(end, "disk", name=fault.of, state="")
+        elif fault.name == "down":
+            self.add(at, "list_service", up=False)
+            self.add(end if end is not None else at + 1000.0, "list_service", up=True)
         elif fault.name == "stop":
             self.add(at, "stop", name=fault.of)
-            self.add(end if end is not None else at + 1000, "go_on", name=fault.of)
+            self.add(end if end is not None else at + 1000.0, "go_on", name=fault.of)
         else:
             self.add(at, "kill" if fault.name == "kill" else "term", name=fault.of)
             if end is not None or fault.name == "restart":
--- /dev/null
+++ b/tests/test_rig_play.py
@@ -0,0 +1,68 @@
+"""A scenario with every kind of fault in it, played as 'rig play' plays it."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+from flaxstep.lab.draw import draw_plan
+from flaxstep.lab.scenario import read_scenario
+from flaxstep.rig.play import play
+from flaxstep.rig.record import read_records
+from flaxstep.rig.result import judge_play
+from flaxstep.rig.story import tell
+from tests.rigs import NODE, SMALL
+
+LINKS = {
+    "delay": "size = 20\njitter = 10",
+    "rate": "size = 300000",
+    "silent": 'way = "there"',
+    "reset": "",
+    "refuse": "",
+    "hold": "",
+}
+PROCESSES = {
+    "stop": ("server:1", ""),
+    "kill": ("server:2", ""),
+    "restart": ("node:1", "keep = false"),
+    "down": ("discovery", ""),
+    "clock": ("node:0", "size = 2"),
+    "disk": ("node:0", "size = 0"),
+}
+ENDS = (("node:0", "server:3"), ("node:1", "not region:east"), ("nodes", "region:east"))
+
+
+def faults() -> str:
+    """Each fault for 0.4 s, one after the other; those of processes beside those of links."""
+    lines = [
+        "[rig]\nregions = { east = [1] }\nbody_bytes = [10, 200000]\nslow_part = 0.05\nearly_part = 0.05\n"
+    ]
+    lines.append("slow_bytes_s = 400000\n")
+    for i, (name, more) in enumerate(LINKS.items()):
+        between = ENDS[i % len(ENDS)]
+        lines.append(f'[[rig.faults]]\nname = "{name}"\nat_s = {0.3 + 0.5 * i}\nfor_s = 0.4\n{more}')
+        lines.append(f'between = ["{between[0]}", "{between[1]}"]\n')
+    for i, (name, (whom, more)) in enumerate(PROCESSES.items()):
+        lines.append(
+            f'[[rig.faults]]\nname = "{name}"\nat_s = {0.4 + 0.5 * i}\nfor_s = 0.4\nof = "{whom}"\n{more}\n'
+        )
+    acts = ('name = "upgrade"\nat_s = 3.6', 'name = "quiesce"\nat_s = 4\nfrom = 1\nfor_s = 0.5')
+    return "\n".join(lines) + "".join(f"[[acts]]\n{act}\n" for act in acts)
+
+
+def test_every_fault_of_a_scenario_is_played_and_no_rule_is_broken(tmp_path: Path) -> None:
+    path = tmp_path / "scenario.toml"
+    path.write_text(SMALL.format(seconds=5, nodes=2, load=0.3) + faults())
+    scenario = read_scenario(path)
+    seen: list[str] = []
+    asyncio.run(play(scenario, path, 5, tmp_path / "play", lambda _, __, what: seen.append(what), run=NODE))
+    result = judge_play(scenario, 5, tmp_path / "play")
+    story = tell(read_records(tmp_path / "play"), draw_plan(scenario, 5), scenario.rig.regions)
+    assert not [line for line in story.happened if line.what == "step failed"]
+    assert not result.breaches
+    assert {fault.kind for fault, _ in story.faults} == set(LINKS)
+    assert all(span.end - span.start < 3000 for _, span in story.faults)
+    done = {line.what for line in story.happened}
+    assert {"stopped", "goes on", "killed", "term", "clock", "disk", "down", "up", "quiesce yes"} <= done
+    assert result.verdict.served > 0.3
+    assert max(one.asked.at for one in story.tries.values()) > 4500
--- a/tests/test_rig_report.py
+++ b/tests/test_rig_report.py
@@ -64,6 +64,8 @@
         ('name = "kill"\nat_s = 1', "of: kill needs one process"),
         ('name = "kill"\nat_s = 1\nof = "server:11"', "there are 9"),
         ('name = "disk"\nat_s = 1\nof = "server:1"', "of: disk is for nodes"),
+        ('name = "term"\nat_s = 1\nof = "front"', "of: term is for nodes and servers"),
+        ('name = "down"\nat_s = 1\nof = "node:1"', "of: down is for discovery"),
         ('name = "melt"\nat_s = 1', "rig.faults[0].name"),
     ],
 )
