--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -135,7 +135,7 @@
 
 
 def left_behind() -> tuple[set[str], set[str], set[str], int]:
-    """Processes of rigs, listening sockets outside 127.0.0.1, files in the folder for them; own descriptors."""
+    """Processes of rigs, listening sockets but those at 127.0.0.1, temporary files; own descriptors."""
     processes = set()
     for path in Path("/proc").glob("[0-9]*/cmdline"):
         with suppress(OSError):
