Plans of releases: every fault told at once, and waves that leave enough in service

Need: staged releases begin with a plan that staff can trust; msgspec alone stops at the first fault. Change: releases/ is a room of its own. checked.py converts a table key by key and collects each fault with its key; plan.py adds what types can't say (versions alike, shares that don't rise or end at 1, zones named twice, commands without {id} or with other fields) and splits members into waves of one zone each, the smallest first, with how many may be out so that the plan's part of the capacity stays. Measured: a plan with twelve faults tells all twelve; over drawn farms (hypothesis) everybody is in one wave, no zone is come back to, and what may be out at once never takes more than the plan lets go.

--- /dev/null
+++ b/releases/checked.py
@@ -0,0 +1,54 @@
+"""Reading a table from TOML or JSON into a typed object, with every fault told at once, each with its key."""
+
+from __future__ import annotations
+
+from typing import Any, TypeVar, get_args, get_type_hints
+
+import msgspec
+
+T = TypeVar("T", bound=msgspec.Struct)
+
+
+def convert_all(raw: Any, kind: type[T], where: str = "") -> tuple[T | None, list[str]]:
+    """The object, or None and a line for every fault: its key, and what is allowed there.
+
+    Keys that the type does not know are faults too: they would be wishes that nobody fulfils.
+    """
+    if not isinstance(raw, dict):
+        return None, [f"{where.rstrip('.') or 'the file'}: a table is wanted, not {type(raw).__name__}"]
+    faults: list[str] = []
+    found: dict[str, Any] = {}
+    hints = get_type_hints(kind, include_extras=True)
+    fields = {field.encode_name: field for field in msgspec.structs.fields(kind)}
+    faults += [f"{where}{key}: not known; one of {', '.join(fields)}" for key in raw if key not in fields]
+    for name, field in fields.items():
+        key = f"{where}{name}"
+        if name not in raw:
+            if field.required:
+                faults.append(f"{key}: is missing")
+            continue
+        inner = struct_of(hints[field.name])
+        if inner is not None:
+            value, more = convert_all(raw[name], inner, f"{key}.")
+            faults += more
+        else:
+            value, more = convert_one(raw[name], hints[field.name], key)
+            faults += more
+        found[field.name] = value
+    return (None, faults) if faults else (kind(**found), faults)
+
+
+def convert_one(value: Any, kind: Any, key: str) -> tuple[Any, list[str]]:
+    try:
+        return msgspec.convert(value, kind), []
+    except msgspec.ValidationError as error:
+        text, _, place = str(error).partition(" - at `$")
+        return None, [f"{key}{place.rstrip('`')}: {text.replace('`', '')}"]
+
+
+def struct_of(hint: Any) -> type[msgspec.Struct] | None:
+    """The table that a key holds, if it holds one."""
+    for kind in (hint, *get_args(hint)):
+        if isinstance(kind, type) and issubclass(kind, msgspec.Struct):
+            return kind
+    return None
--- /dev/null
+++ b/releases/plan.py
@@ -0,0 +1,212 @@
+"""What a release is to do: read from TOML, every fault told at once, and split into waves.
+
+A plan says what is released and to which version, in which waves and order of zones, how much may be out at
+once and how much of the farm's worth must stay, how long each wave is watched, and which commands restart a
+process.
+"""
+
+from __future__ import annotations
+
+import string
+import tomllib
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+
+from releases.checked import convert_all
+
+Text = Annotated[str, Meta(min_length=1, max_length=200)]
+Part = Annotated[float, Meta(gt=0, le=1)]
+Count = Annotated[int, Meta(ge=1, le=10_000)]
+Seconds = Annotated[float, Meta(ge=0, le=86_400)]
+Limit = Annotated[float, Meta(gt=0, le=86_400)]
+
+
+class PlanError(Exception):
+    """A plan that can't be carried out: all that is wrong with it, a line each."""
+
+    def __init__(self, faults: Sequence[str]) -> None:
+        super().__init__("\n".join(faults))
+        self.faults = list(faults)
+
+
+class Waves(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One canary first, then shares of all that is released, each wave within one zone at a time."""
+
+    canary: Count = 1
+    shares: Annotated[tuple[Part, ...], Meta(min_length=1, max_length=100)] = (0.25, 1.0)
+    zones: tuple[Text, ...] = ()  # their order; empty: as the farm lists them
+
+
+class Room(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What must stay while some are out."""
+
+    out_at_once: Count = 1
+    capacity: Part = 0.8  # of what the fleet can do, by size, that must not be out or cold at any time
+    worth: Annotated[float, Meta(ge=0, le=1)] = 0.9  # of what is asked for that must be served, or it halts
+
+
+class Watch(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How long, and how it is judged."""
+
+    bake_s: Seconds = 30.0  # after each wave, once its servers are warm
+    wait_s: Limit = 600.0  # for a farm that is not fit to go on; then the release gives up, in a safe state
+    false_halt: Annotated[float, Meta(gt=0, le=0.2)] = (
+        0.01  # chance over the whole release, for a good version
+    )
+    slower: Annotated[float, Meta(ge=1, le=10)] = 1.1  # times as long as before that nobody minds
+    failures: Annotated[float, Meta(ge=0, le=1)] = 0.002  # more of the answers that may fail unnoticed
+    on_bad: Literal["back", "hold"] = "back"
+
+
+class Commands(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Argument lists, run without a shell; `{id}` and `{version}` stand for what is restarted."""
+
+    restart: Annotated[tuple[Text, ...], Meta(min_length=1, max_length=100)]
+    time_limit_s: Limit = 60.0
+
+
+class Plan(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A release."""
+
+    name: Text
+    what: Literal["servers", "nodes"]
+    from_: Text = msgspec.field(name="from")
+    to: Text
+    commands: Commands
+    waves: Waves = Waves()
+    room: Room = Room()
+    watch: Watch = Watch()
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One of the processes that a release is about."""
+
+    id: str
+    zone: str
+    size: float  # what it can do, beside the others
+
+
+@dataclass(frozen=True, slots=True)
+class Wave:
+    """Members of one zone, released together or one after the other, then watched."""
+
+    zone: str
+    members: tuple[Member, ...]
+
+
+def read_plan(path: Path) -> Plan:
+    """The plan of a file; PlanError with every fault, if it has any."""
+    try:
+        return parse_plan(path.read_text())
+    except OSError as error:
+        raise PlanError([f"{path}: {error.strerror}"]) from None
+    except UnicodeDecodeError:
+        raise PlanError([f"{path}: not UTF-8 text"]) from None
+
+
+def parse_plan(text: str) -> Plan:
+    try:
+        raw = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise PlanError([f"not TOML: {error}"]) from None
+    plan, faults = convert_all(raw, Plan)
+    faults += meaning(raw)
+    if faults or plan is None:
+        raise PlanError(faults)
+    return plan
+
+
+def meaning(raw: dict[str, object]) -> list[str]:
+    """What the types can't say, as far as the values are there to be looked at."""
+    return [*same_version(raw), *rising_shares(raw), *repeated_zones(raw), *unknown_fields(raw)]
+
+
+def table(raw: dict[str, object], name: str) -> dict[str, object]:
+    found = raw.get(name)
+    return found if isinstance(found, dict) else {}
+
+
+def same_version(raw: dict[str, object]) -> Iterator[str]:
+    if "to" in raw and raw.get("from") == raw["to"]:
+        yield "to: the same version as 'from'; there is nothing to release"
+
+
+def rising_shares(raw: dict[str, object]) -> Iterator[str]:
+    shares = table(raw, "waves").get("shares")
+    if not isinstance(shares, list) or not shares or not all(isinstance(s, int | float) for s in shares):
+        return
+    if any(late <= early for early, late in zip(shares, shares[1:], strict=False)):
+        yield "waves.shares: each must be more than the one before"
+    if shares[-1] != 1:
+        yield "waves.shares: the last must be 1, or the release never ends"
+
+
+def repeated_zones(raw: dict[str, object]) -> Iterator[str]:
+    zones = table(raw, "waves").get("zones")
+    if isinstance(zones, list) and len(set(map(str, zones))) < len(zones):
+        yield "waves.zones: a zone is named twice"
+
+
+def unknown_fields(raw: dict[str, object]) -> Iterator[str]:
+    words = table(raw, "commands").get("restart")
+    if not isinstance(words, list) or not all(isinstance(word, str) for word in words):
+        return
+    named: set[str] = set()
+    for i, word in enumerate(words):
+        try:
+            fields = {field for _, field, _, _ in string.Formatter().parse(word) if field is not None}
+        except ValueError as error:
+            yield f"commands.restart[{i}]: {error}"
+            continue
+        yield from (
+            f"commands.restart[{i}]: {{{field}}} is neither {{id}} nor {{version}}"
+            for field in sorted(fields - {"id", "version"})
+        )
+        named |= fields
+    if "id" not in named:
+        yield "commands.restart: no {id}: every process would be restarted by the same command"
+
+
+def waves(plan: Plan, members: Sequence[Member]) -> list[Wave]:
+    """The canaries, then each share's members; a wave that meets several zones is one wave for each of them.
+
+    Zones come in the plan's order, those that it doesn't name after them. Within a zone the smallest goes
+    first: if a version is bad, the least is lost. PlanError if the plan names a zone that no member is in.
+    """
+    seen = list(dict.fromkeys(member.zone for member in members))
+    missing = [zone for zone in plan.waves.zones if zone not in seen]
+    if missing:
+        raise PlanError([f"waves.zones: nobody is in {zone}" for zone in missing])
+    order = [*plan.waves.zones, *(zone for zone in seen if zone not in plan.waves.zones)]
+    line = sorted(members, key=lambda member: (order.index(member.zone), member.size, member.id))
+    ends = [min(plan.waves.canary, len(line))]
+    ends += [max(ends[0], round(share * len(line))) for share in plan.waves.shares]
+    made: list[Wave] = []
+    for start, end in zip([0, *ends], ends, strict=False):
+        part = line[start:end]
+        zones = dict.fromkeys(member.zone for member in part)
+        made += [Wave(zone, tuple(member for member in part if member.zone == zone)) for zone in zones]
+    return made
+
+
+def at_once(plan: Plan, wave: Wave, members: Sequence[Member]) -> int:
+    """How many of a wave may be out together so that enough capacity stays; 0: not even one."""
+    whole = sum(member.size for member in members)
+    spare, count = whole * (1 - plan.room.capacity) + 1e-9, 0
+    for size in sorted((member.size for member in wave.members), reverse=True):
+        spare -= size
+        if spare < 0:
+            break
+        count += 1
+    return min(count, plan.room.out_at_once)
+
+
+def command(plan: Plan, member: str, version: str) -> list[str]:
+    """The argument list that restarts a member with a version."""
+    return [word.format(id=member, version=version) for word in plan.commands.restart]
--- /dev/null
+++ b/tests/test_release_plan.py
@@ -0,0 +1,131 @@
+"""Plans of releases: all faults at once, waves that leave enough in service."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from releases.plan import Member, Plan, PlanError, Room, Waves, at_once, command, parse_plan, read_plan, waves
+
+GOOD = """
+name = "job server 2.4"
+what = "servers"
+from = "v1"
+to = "v2"
+[commands]
+restart = ["restart-server", "--id={id}", "{version}"]
+[waves]
+canary = 2
+shares = [0.5, 1]
+zones = ["b", "a"]
+"""
+
+
+def faults(text: str) -> list[str]:
+    with pytest.raises(PlanError) as error:
+        parse_plan(text)
+    return error.value.faults
+
+
+def test_a_good_plan_is_read_and_makes_its_commands() -> None:
+    plan = parse_plan(GOOD)
+    assert (plan.from_, plan.to, plan.room, plan.waves.canary) == ("v1", "v2", Room(), 2)
+    assert command(plan, "s-1", "v2") == ["restart-server", "--id=s-1", "v2"]
+
+
+def test_every_fault_is_told_at_once_with_its_key() -> None:
+    told = faults(
+        """
+        what = "lorries"
+        from = "v1"
+        to = "v1"
+        colour = "red"
+        [commands]
+        restart = ["go", "{host}", "{version"]
+        [waves]
+        canary = 0
+        shares = [0.5, 0.5]
+        zones = ["a", "a"]
+        [room]
+        out_at_once = "two"
+        """
+    )
+    keys = [line.partition(":")[0] for line in told]
+    assert sorted(keys) == [
+        "colour", "commands.restart", "commands.restart[1]", "commands.restart[2]", "name",
+        "room.out_at_once", "to", "waves.canary", "waves.shares", "waves.shares", "waves.zones", "what",
+    ]  # fmt: skip
+    assert all("\n" not in line and line.partition(": ")[2] for line in told)
+
+
+@pytest.mark.parametrize(
+    ("text", "words"),
+    [
+        ("name = [", "not TOML"),
+        (GOOD.replace('name = "job server 2.4"', ""), "name: is missing"),
+        (GOOD.replace("canary = 2", "canary = true"), "waves.canary"),
+        (GOOD.replace("[0.5, 1]", "[0.5, 2]"), "waves.shares[1]"),
+        (GOOD.replace("[0.5, 1]", "[0.5]"), "never ends"),
+        (GOOD.replace("[0.5, 1]", "[]"), "waves.shares"),
+        (GOOD.replace('"--id={id}", ', ""), "no {id}"),
+        ("waves = 3" + GOOD.replace("[waves]", "[other]"), "waves: a table is wanted"),
+        (GOOD + "[watch]\nfalse_halt = 0.5", "watch.false_halt"),
+        (GOOD + "[watch]\nbake_s = nan", "watch.bake_s"),
+    ],
+)
+def test_a_plan_that_can_t_be_carried_out_says_why(text: str, words: str) -> None:
+    assert any(words in line for line in faults(text))
+
+
+def test_a_plan_that_can_t_be_read_says_why(tmp_path: Path) -> None:
+    (tmp_path / "binary").write_bytes(b"\xff\xfe")
+    for path, words in (
+        (tmp_path / "none", "No such file"),
+        (tmp_path, "directory"),
+        (tmp_path / "binary", "UTF-8"),
+    ):
+        with pytest.raises(PlanError, match=words):
+            read_plan(path)
+
+
+members = st.lists(
+    st.builds(Member, st.uuids().map(str), st.sampled_from("abcd"), st.floats(0.1, 8)),
+    min_size=1,
+    max_size=60,
+    unique_by=lambda member: member.id,
+)
+
+
+@given(
+    members, st.integers(1, 5), st.lists(st.floats(0.01, 0.99), max_size=4, unique=True), st.floats(0.1, 1)
+)
+def test_waves_take_everybody_once_zone_by_zone_and_leave_room(
+    farm: list[Member], canary: int, shares: list[float], capacity: float
+) -> None:
+    plan = parse_plan(GOOD.replace('zones = ["b", "a"]', ""))
+    wanted = Waves(canary=canary, shares=(*sorted(shares), 1.0))
+    plan = Plan(plan.name, plan.what, plan.from_, plan.to, plan.commands, wanted, Room(3, capacity))
+    made = waves(plan, farm)
+    assert sorted(m.id for wave in made for m in wave.members) == sorted(m.id for m in farm)
+    assert all({member.zone for member in wave.members} == {wave.zone} for wave in made)
+    zones = [wave.zone for wave in made]
+    assert len({*zones}) == 1 + sum(
+        a != b for a, b in zip(zones, zones[1:], strict=False)
+    )  # none is come back to
+    assert len(made[0].members) <= canary
+    whole = sum(member.size for member in farm)
+    for wave in made:
+        most = sorted((member.size for member in wave.members), reverse=True)[: at_once(plan, wave, farm)]
+        assert sum(most) <= whole * (1 - capacity) + 1e-6 and len(most) <= 3
+
+
+def test_the_plan_s_zones_come_first_in_its_order_and_must_be_there() -> None:
+    farm = [Member(f"{zone}{i}", zone, 1.0 + i) for zone in "abc" for i in range(2)]
+    order = list(dict.fromkeys(wave.zone for wave in waves(parse_plan(GOOD), farm)))
+    assert order == ["b", "a", "c"]
+    assert waves(parse_plan(GOOD), farm)[0].members == (farm[2], farm[3])
+    with pytest.raises(PlanError, match="nobody is in b"):
+        waves(parse_plan(GOOD), [member for member in farm if member.zone != "b"])
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -9,7 +9,12 @@
 import pytest
 
 ROOT = Path(__file__).parent.parent
-MAY = {"cottonhall": set(), "badgercart": {"cottonhall"}, "flaxstep": {"cottonhall", "badgercart"}}
+MAY: dict[str, set[str]] = {
+    "cottonhall": set(),
+    "badgercart": {"cottonhall"},
+    "releases": set(),
+    "flaxstep": {"cottonhall", "badgercart", "releases"},
+}
 
 
 def modules(room: str) -> dict[str, Path]:
