--- /dev/null
+++ b/tests/test_release_judge.py
@@ -0,0 +1,66 @@
+"""The judge keeps its promise over drawn releases, and says what it bets on."""
+
+from __future__ import annotations
+
+import pytest
+
+from benchmarks import releases
+from releases.judge import Finding, Judge, Seen
+
+COUNT = 120
+
+
+def look(released: tuple[int, int, int], rest: tuple[int, int, int], members: int = 6) -> list[Seen]:
+    """One member with the version beside some without: answers, failed, slow of each."""
+    lines = [Seen("new", True, *released, usual=0.25)]
+    return lines + [Seen(f"old {i}", False, *rest, usual=0.25) for i in range(members)]
+
+
+@pytest.mark.parametrize("version", releases.VERSIONS)
+def test_good_versions_go_through_and_bad_ones_are_halted_at_the_canary(version: str) -> None:
+    outcomes = [releases.release(seed, version) for seed in range(COUNT)]
+    halted = [outcome for outcome in outcomes if outcome.halted >= 0]
+    if version == "good":
+        assert len(halted) <= 4  # 1 in 100 promised; 5 of 120 would come once in 140 times if it is kept
+        return
+    assert len(halted) >= 0.97 * COUNT
+    assert (
+        sorted(outcome.released for outcome in halted)[len(halted) // 2] == 1
+    )  # the median: the canary alone
+    assert sorted(outcome.harmed for outcome in outcomes)[COUNT // 2] < 1 / 200
+
+
+def test_load_that_moves_all_is_no_reason_and_a_version_that_is_slower_still_is() -> None:
+    judge = Judge(0.01, 0.002)
+    for _ in range(60):  # all of them three times as often slow as usual
+        assert judge.look(look((30, 0, 22), (30, 0, 22))).finding is Finding.GOOD
+    while (opinion := judge.look(look((30, 0, 29), (30, 0, 20)))).finding is Finding.GOOD:
+        pass
+    assert opinion.finding is Finding.BAD and opinion.stake >= opinion.wanted == 200.0
+    assert opinion.why.startswith("slow answers:") and "expected" in opinion.why
+
+
+def test_a_cold_member_s_slow_answers_don_t_count_but_its_failures_do() -> None:
+    slow, failing = Judge(0.01, 0.002), Judge(0.01, 0.002)
+    for _ in range(60):
+        rest = look((30, 0, 7), (30, 0, 7))[1:]
+        cold = Seen("new", True, 30, 0, 30, usual=0.25, cold=True)
+        assert slow.look([cold, *rest]).finding is Finding.GOOD
+        broken = Seen("new", True, 30, 3, 30, usual=0.25, cold=True)
+        last = failing.look([broken, *rest])
+    assert last.finding is Finding.BAD and last.why.startswith("failures:")
+
+
+def test_one_bad_machine_of_several_halts_nothing_and_two_do() -> None:
+    for bad, finding in ((1, Finding.GOOD), (2, Finding.BAD)):
+        judge = Judge(0.01, 0.002)
+        for _ in range(60):
+            new = [Seen(f"new {i}", True, 30, 9 if i < bad else 0, 6, usual=0.25) for i in range(3)]
+            last = judge.look(new + look((30, 0, 7), (30, 0, 7))[1:])
+        assert last.finding is finding
+
+
+def test_with_nothing_to_compare_with_it_says_so() -> None:
+    judge = Judge(0.01, 0.002)
+    assert judge.look([Seen("new", True, 900, 900, 900, usual=0.25)]).finding is Finding.UNFIT
+    assert judge.look([]).finding is Finding.UNFIT
