Tell at the door what is out at each job server and what it has answered

Need: a release waits until nothing is in flight at a server before it restarts it, and judges versions by server; the door told neither, and the lines of /admin/stats are to stay as they are. Change: GET /admin/servers gives, by listed server, the attempts out, the start of its process, and by class the good answers with their times in buckets, the failed ones and those that never started. A restart in the list begins anew.

--- a/badgercart/figures.py
+++ b/badgercart/figures.py
@@ -1,10 +1,17 @@
-"""What the node reports: counters since its start and gauges, as statsd lines."""
+"""What the node reports: counters since its start and gauges, as statsd lines; and figures of each job
+server."""
 
 from __future__ import annotations
 
+import json
+import math
 from collections.abc import Iterable, Mapping
 
+from cottonhall.interface import NEVER_RAN, Result
+
 PREFIX = "edge_router"
+PER_OCTAVE = 4  # buckets of answer times to a doubling: within 19%
+BUCKETS = 64  # from 1 ms to 65 s
 
 
 class Figures:
@@ -39,3 +46,69 @@
         counts.append(f"forwards:{self.forwards}|c")
         counts += [f"{name}:{value}|g" for name, value in gauges.items()]
         return "\n".join(f"{PREFIX}.{line}" for line in counts)
+
+
+class ServerFigures:
+    """What each listed job server has answered, by class, since its process started (or this node's did)."""
+
+    def __init__(self, classes: Iterable[str]) -> None:
+        self.classes = list(classes)
+        self.servers: dict[int, Answers] = {}
+
+    def listed(self, server: int, name: str, started: float) -> None:
+        """A server is in the list. One that has started anew begins anew here."""
+        known = self.servers.get(server)
+        if known is None or known.started != started:
+            self.servers[server] = Answers(name, started, len(self.classes))
+
+    def keep(self, listed: set[int]) -> None:
+        """Only these are listed now."""
+        for server in self.servers.keys() - listed:
+            del self.servers[server]
+
+    def ended(self, server: int, cls: int, result: Result, took: float) -> None:
+        """An attempt at a server has its outcome, after `took` ms."""
+        answers = self.servers.get(server)
+        if answers is None:
+            return
+        if result is Result.OK:
+            answers.took[cls][min(int(PER_OCTAVE * math.log2(took + 1.0)), BUCKETS - 1)] += 1
+        elif result in NEVER_RAN:
+            answers.unstarted[cls] += 1
+        else:
+            answers.failed[cls] += 1
+
+    def report(self, out: Mapping[int, int], started_ms: float) -> str:
+        """One JSON object, by server: attempts out, Unix ms of its start as the list has it, answers by
+        class.
+
+        `took` has pairs of a bucket and its count; bucket n ends at 2 ** ((n + 1) / 4) - 1 ms.
+        """
+        return json.dumps(
+            {
+                answers.name: {
+                    "out": out.get(server, 0),
+                    "started": round(answers.started + started_ms) if answers.started else 0,
+                    "classes": {name: answers.of(cls) for cls, name in enumerate(self.classes)},
+                }
+                for server, answers in self.servers.items()
+            },
+            separators=(",", ":"),
+        )
+
+
+class Answers:
+    """One job server's."""
+
+    __slots__ = ("failed", "name", "started", "took", "unstarted")
+
+    def __init__(self, name: str, started: float, classes: int) -> None:
+        self.name, self.started = name, started
+        self.failed = [0] * classes  # errors, resets and time-outs: they may have run
+        self.unstarted = [0] * classes  # turned away, or no connection
+        self.took = [[0] * BUCKETS for _ in range(classes)]
+
+    def of(self, cls: int) -> dict[str, object]:
+        took = [(bucket, count) for bucket, count in enumerate(self.took[cls]) if count]
+        ok = sum(count for _, count in took)
+        return {"ok": ok, "failed": self.failed[cls], "unstarted": self.unstarted[cls], "took": took}
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -11,7 +11,7 @@
 import math
 import random
 import time
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
@@ -22,7 +22,7 @@
 from badgercart.clients import LEAST_RATE, ClientConnection, ClientRequest, Listener, stable_id
 from badgercart.config import Address, Config, parse_address
 from badgercart.discovery import Discovery
-from badgercart.figures import Figures
+from badgercart.figures import Figures, ServerFigures
 from badgercart.handover import Handover, Shared
 from badgercart.servers import Answer, Attempt, Message, ServerPool, now_ms
 from cottonhall import Policy
@@ -106,6 +106,7 @@
         self.told = asyncio.Event()  # discovery has given a list
         clients, servers = room(config.sockets)
         self.figures = Figures(name.decode("latin-1") for name in config.classes)
+        self.by_server = ServerFigures(self.figures.classes)
         self.room = Room((config.memory_mb << 20) // BODIES)
         self.pool = ServerPool(
             loop, config.dial_timeout, config.idle_timeout, servers, self, self.figures, self.room
@@ -244,6 +245,8 @@
             self.figures.ended(held.cls, 200)
             held.client.answer(200, answer.body, answer.content_type)
         over, elapsed = request_id not in self.held, now_ms() - attempt.started
+        if held is not None and result is not Result.CANCELLED:
+            self.by_server.ended(attempt.server.id, held.cls, result, elapsed)
         upload = attempt.message.upload
         spent = upload is not None and upload.spent
         self.tell(Outcome(request_id, attempt.server.id, over, result, attempt.number, elapsed, spent=spent))
@@ -280,12 +283,14 @@
                 gone = self.pool.servers[server_id]
                 self.pool.update(server_id, gone.address, State.GONE, gone.started)
             self.listed &= named
-        for entry, address, _ in entries:
+        for entry, address, name in entries:
             self.pool.update(entry.id, address, entry.state, entry.started)
             if entry.state is State.GONE:
                 self.listed.discard(entry.id)
             else:
                 self.listed.add(entry.id)
+                self.by_server.listed(entry.id, name, entry.started)
+        self.by_server.keep(self.listed)
         if entries or kind is not ListKind.DELTA:
             changed = ", ".join(f"{name} {entry.state.name.lower()}" for entry, _, name in entries[:4])
             more = f" and {len(entries) - 4} more" if len(entries) > 4 else ""
@@ -318,6 +323,7 @@
         return {
             b"/admin/health": (b"GET", self.tell_health),
             b"/admin/stats": (b"GET", self.report),
+            b"/admin/servers": (b"GET", self.report_servers),
             b"/admin/cordon": (b"POST", self.cordon),
             b"/admin/uncordon": (b"POST", self.uncordon),
             b"/admin/quiesce": (b"POST", self.quiesce),
@@ -348,6 +354,10 @@
         }
         return 200, self.figures.lines(gauges)
 
+    def report_servers(self, _: bytes) -> Reply:
+        out = Counter(attempt.server.id for attempt in self.pool.attempts.values())
+        return 200, self.by_server.report(out, self.unix_offset)
+
     def cordon(self, body: bytes) -> Reply:
         return self.change_shared(body, "cordoned", lambda shared, name: shared.without(name))
 
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import json
+from typing import Any
 
-from badgercart.figures import Figures
-from cottonhall.interface import ListKind, ServerList
+from badgercart.figures import Figures, ServerFigures
+from cottonhall.interface import ListKind, Result, ServerList
 from cottonhall.rules import Policy
-from tests.net import CLASSES, OK, Peer, Stand, answer, hang_up, request, running
+from tests.net import CLASSES, OK, Peer, Stand, answer, answer_ok, hang_up, request, running, stay_silent
 from tests.support import server, settings
 from tests.test_admin import DOOR, until
 from tests.test_node import run
@@ -122,3 +124,69 @@
         health.rest_until = 100.0 + cls
     assert policy.avoided(10.0) == {3}
     assert not policy.avoided(100.0)
+
+
+async def by_server(stand: Stand) -> dict[str, Any]:
+    status, text = await stand.call("GET", "servers")
+    assert status == 200
+    found: dict[str, Any] = json.loads(text)
+    return found
+
+
+def test_each_server_has_its_answers_by_class_and_what_is_out() -> None:
+    full = answer(b"HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n")
+
+    async def test() -> None:
+        peers = [await Peer().start(), await Peer(full).start(), await Peer(hang_up).start()]
+        async with running(*peers, admin=DOOR) as stand:
+            client = await stand.client()
+            codes = [(await client.ask(request("book")))[0] for _ in range(30)]
+            found = await by_server(stand)
+            assert list(found) == ["s-1", "s-2", "s-3"]
+            got = {name: found[name]["classes"]["book"] for name in found}
+            assert sum(count for _, count in got["s-1"]["took"]) == got["s-1"]["ok"] == codes.count(200)
+            assert (got["s-2"]["ok"], got["s-2"]["failed"]) == (0, 0) and got["s-2"]["unstarted"] > 0
+            assert (got["s-3"]["ok"], got["s-3"]["unstarted"]) == (0, 0) and got["s-3"]["failed"] > 0
+            assert found["s-1"]["classes"]["pay"] == {"ok": 0, "failed": 0, "unstarted": 0, "took": []}
+            assert all(line["out"] == 0 for line in found.values())
+
+    run(test())
+
+
+def test_what_is_out_is_told_and_a_restart_begins_anew() -> None:
+    async def test() -> None:
+        peer = await Peer(stay_silent).start()
+        async with running(peer, admin=DOOR) as stand:
+            client = await stand.client()
+            client.writer.write(request())
+            await peer.requests.get()
+            assert (await by_server(stand))["s-1"]["out"] == 1
+            peer.script = answer_ok
+            other = await stand.client()
+            while (await other.ask(request()))[0] != 200:
+                pass
+            before = (await by_server(stand))["s-1"]
+            assert before["started"] == 0 and before["classes"]["find"]["ok"] == 1
+            started = 1_700_000_000_000
+            stand.agent.push(2, [peer.entry(started=started)])
+            await stand.event(ServerList)
+            while (after := (await by_server(stand))["s-1"])["started"] == 0:
+                pass
+            assert abs(after["started"] - started) <= 1 and after["classes"]["find"]["ok"] == 0
+            stand.agent.push(3, [peer.entry(state="left")])
+            while await by_server(stand):
+                pass
+
+    run(test())
+
+
+def test_a_bucket_is_a_fourth_of_an_octave_and_the_last_holds_the_rest() -> None:
+    figures = ServerFigures(["find"])
+    figures.listed(1, "s-1", 0.0)
+    for took in (0.0, 1.0, 3.0, 100.0, 1e9):
+        figures.ended(1, 0, Result.OK, took)
+    figures.ended(2, 0, Result.OK, 1.0)  # not listed any more: nobody asks for it
+    buckets = json.loads(figures.report({}, 0.0))["s-1"]["classes"]["find"]["took"]
+    assert buckets == [[0, 1], [4, 1], [8, 1], [26, 1], [63, 1]]
+    for took, (bucket, _) in zip((0.0, 1.0, 3.0, 100.0), buckets, strict=False):
+        assert 2 ** (bucket / 4) - 1 <= took < 2 ** ((bucket + 1) / 4) - 1
