--- a/flaxstep/rig/farm_config.py
+++ b/flaxstep/rig/farm_config.py
@@ -9,6 +9,7 @@
 from flaxstep.lab.draw import Plan
 from flaxstep.lab.rigging import Rigging
 from flaxstep.lab.scenario import Scenario
+from flaxstep.lab.table import Range
 from flaxstep.rig.standin import Address
 
 EFFECTS = {"safe": "free", "keyed": "guarded", "unsafe": "single_shot"}
@@ -145,7 +146,7 @@
         "cancel_running": bool(plan.figures["cancel_running"]),
         "idle_s": scenario.conn.idle_s,
         "classes": [c.name for c in scenario.classes],
-        "noise": [high(c.attempt_noise) for c in scenario.classes],
+        "noise": [middle(c.attempt_noise) for c in scenario.classes],
         "windows": [c.window_ms if c.effect == "keyed" else 0.0 for c in scenario.classes],
         "rack": [
             (host, SERVERS + mate.number)
@@ -155,7 +156,7 @@
     }
 
 
-def high(value: float | tuple[float, float]) -> float:
+def middle(value: Range) -> float:
     return sum(value) / 2 if isinstance(value, tuple) else value
 
 
--- a/flaxstep/rig/links.py
+++ b/flaxstep/rig/links.py
@@ -258,10 +258,6 @@
             if link.callee == callee:
                 link.settle(list(self.faults.values()), callee not in self.gone)
 
-    def do_open(self) -> int:
-        """How many connections are open."""
-        return sum(len(link.pairs) for link in self.links)
-
 
 if __name__ == "__main__":
     run(Links)
