End a stand-in that fails or is cancelled while it starts

Found on reading the change once more: a stand-in was known to the stage only once it was ready, so a play that was cancelled, or failed, while it started left up to a dozen processes until the rig itself ended; tasks were cancelled at the close and not waited for. Change: Child.stand_in ends what it started if it does not become ready; the stage waits for its tasks.

--- a/flaxstep/rig/child.py
+++ b/flaxstep/rig/child.py
@@ -64,8 +64,12 @@
         command = [sys.executable, "-B", "-m", f"flaxstep.rig.{module}", str(path)]
         environment = dict(os.environ) | {"PYTHONPATH": str(ROOT)}
         child = await cls.start(name, command, folder / f"{name}.log", environment)
-        if not (await child.line(READY_TIME)).get("ready"):
-            raise RigError(f"{name}: did not start; see {folder / f'{name}.log'}")
+        try:
+            if not (await child.line(READY_TIME)).get("ready"):
+                raise RigError(f"{name}: did not start; see {folder / f'{name}.log'}")
+        except BaseException:  # nobody else knows of it yet
+            await child.end()
+            raise
         return child
 
     async def line(self, seconds: float) -> dict[str, Any]:
--- a/flaxstep/rig/stage.py
+++ b/flaxstep/rig/stage.py
@@ -77,8 +77,9 @@
 
     async def close(self) -> None:
         """End every process by its id. Nothing is left when this returns, whatever went before."""
-        for task in self.tasks:
+        for task in list(self.tasks):
             task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)  # what one was starting is ended with it
         children = [*self.children.values(), *self.leaving]
         await asyncio.shield(asyncio.gather(*(child.end() for child in children)))
         self.recorder.close()
--- a/tests/test_rig_faults.py
+++ b/tests/test_rig_faults.py
@@ -190,3 +190,18 @@
         await process.wait()
         while any(alive(pid) for pid in children):
             await asyncio.sleep(0.05)
+
+
+def test_a_play_that_is_cancelled_while_it_starts_leaves_no_process(tmp_path: Path) -> None:
+    async def test() -> list[str]:
+        starting = asyncio.create_task(rig(tmp_path))
+        while not list(tmp_path.glob("play/server-*.jsonl")):  # its processes run, and are not ready yet
+            await asyncio.sleep(0.01)
+        starting.cancel()
+        await asyncio.wait([starting])
+        pids = [
+            pid for path in Path("/proc/self/task").glob("*/children") for pid in path.read_text().split()
+        ]
+        return [pid for pid in pids if "flaxstep.rig" in Path(f"/proc/{pid}/cmdline").read_text()]
+
+    assert asyncio.run(test()) == []
