Let the one-way cut's test outlast a suspect's rest, and need the zone that was cut

Cause: a suspect rests 1.5 to 2.5 s, and after it a node with room in its own zone may not ask another for long. Seen in 12 plays of 6 s, four at a time: the first attempt after the heal came at 1755 to 3061 ms in eleven, and in one not at all. So the play was too short, and easy load owed the zone nothing. Change: 6 s, and the node's own zone is out by hand from the heal on.

--- a/tests/test_rig_faults.py
+++ b/tests/test_rig_faults.py
@@ -50,8 +50,11 @@
         await stage.fault(1, spec)
         await asyncio.sleep(1.2)
         await stage.heal(1, spec)
+        for server in range(3):  # the node's own zone: with it, an easy load may never ask for the other
+            await stage.ask(0, "POST", "cordon", f"s-{server:04d}")
 
-    play = asyncio.run(rig(tmp_path, acts))
+    # Suspects rest for up to 2.5 s, and the last of them may have failed 1.2 s after the way healed.
+    play = asyncio.run(rig(tmp_path, acts, seconds=6))
     assert not play.result.breaches
     cut = [
         a for one in play.story.tries.values() for a in one.attempts if a.node == 0 and a.began.server >= 3
