--- a/releases/checked.py
+++ b/releases/checked.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any, TypeVar, get_args, get_type_hints
+from typing import Any, TypeVar, get_args, get_origin, get_type_hints
 
 import msgspec
 
@@ -27,17 +27,23 @@
             if field.required:
                 faults.append(f"{key}: is missing")
             continue
-        inner = struct_of(hints[field.name])
-        if inner is not None:
-            value, more = convert_all(raw[name], inner, f"{key}.")
-            faults += more
-        else:
-            value, more = convert_one(raw[name], hints[field.name], key)
-            faults += more
-        found[field.name] = value
+        found[field.name], more = convert_value(raw[name], hints[field.name], key)
+        faults += more
     return (None, faults) if faults else (kind(**found), faults)
 
 
+def convert_value(value: Any, hint: Any, key: str) -> tuple[Any, list[str]]:
+    inner = struct_of(hint)
+    if inner is None:
+        return convert_one(value, hint, key)
+    if get_origin(hint) is not tuple:
+        return convert_all(value, inner, f"{key}.")
+    if not isinstance(value, list):
+        return None, [f"{key}: an array of tables is wanted, not {type(value).__name__}"]
+    lines = [convert_all(line, inner, f"{key}[{i}].") for i, line in enumerate(value)]
+    return tuple(line for line, _ in lines), [fault for _, faults in lines for fault in faults]
+
+
 def convert_one(value: Any, kind: Any, key: str) -> tuple[Any, list[str]]:
     try:
         return msgspec.convert(value, kind), []
--- /dev/null
+++ b/releases/farm.py
@@ -0,0 +1,60 @@
+"""The farm that a release is about: its nodes with their doors, its list service, and the file that holds the
+releases' state. Read from TOML, every fault told at once."""
+
+from __future__ import annotations
+
+import tomllib
+from collections import Counter
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from releases.checked import convert_all
+from releases.plan import PlanError, Text
+
+Place = Annotated[str, Meta(pattern=r"^[0-9a-zA-Z._-]+:[0-9]{1,5}$")]
+
+
+class NodeLine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A node. Its first process has its door at the first of `doors`, a successor at another of them."""
+
+    name: Text
+    doors: Annotated[tuple[Place, ...], Meta(min_length=1, max_length=8)]
+    zone: Text = "-"
+
+
+class Farm(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """`state` is a path, from the farm file's folder: all controllers of the farm share that file."""
+
+    name: Text
+    discovery: Place
+    state: Text
+    nodes: Annotated[tuple[NodeLine, ...], Meta(min_length=1, max_length=10_000)]
+
+
+def read_farm(path: Path) -> Farm:
+    """The farm of a file, `state` from where the file is; PlanError with every fault, if it has any."""
+    try:
+        raw = tomllib.loads(path.read_text())
+    except OSError as error:
+        raise PlanError([f"{path}: {error.strerror}"]) from None
+    except UnicodeDecodeError:
+        raise PlanError([f"{path}: not UTF-8 text"]) from None
+    except tomllib.TOMLDecodeError as error:
+        raise PlanError([f"not TOML: {error}"]) from None
+    farm, faults = convert_all(raw, Farm)
+    if farm is not None:
+        faults += repeated(farm)
+    if faults or farm is None:
+        raise PlanError(faults)
+    return msgspec.structs.replace(farm, state=str((path.parent / farm.state).resolve()))
+
+
+def repeated(farm: Farm) -> Iterator[str]:
+    names = Counter(node.name for node in farm.nodes)
+    doors = Counter(door for node in farm.nodes for door in node.doors)
+    for what, counts in (("node", names), ("door", doors)):
+        yield from (f"nodes: the {what} {name} stands there twice" for name, n in counts.items() if n > 1)
--- a/releases/judge.py
+++ b/releases/judge.py
@@ -16,6 +16,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+import msgspec
+
 FACTORS = (1.3, 1.6, 2.0, 3.0, 6.0, 12.0)  # how many times the expected share each bet is on
 MOST = 0.98  # a share above this is not bet on: one answer the other way would ruin the stake
 PRIOR = 4.0  # members that a spread of 1 is worth before any was seen
@@ -130,13 +132,15 @@
         self.failures = failures
         self.bets = (Bet("failures"), Bet("slow answers"))
         self.failed = self.answers = 0  # of the rest so far
+        self.fit = False  # whether the last look had something to compare with
 
     def look(self, seen: Sequence[Seen]) -> Opinion:
         """Take up what was seen since the last look, and say what it comes to."""
         rest = [line for line in seen if not line.released]
         self.failed += sum(line.failed for line in rest)
         self.answers += sum(line.answers for line in rest)
-        if self.answers < LEAST_REST or sum(line.answers for line in rest) == 0:
+        self.fit = self.answers >= LEAST_REST and sum(line.answers for line in rest) > 0
+        if not self.fit:
             return Opinion(Finding.UNFIT, *self.best(), "too few answers of members that are not released")
         failing, slowing = self.bets
         share = (self.failed + 1) / (self.answers + 1)
@@ -151,6 +155,16 @@
                 )
         return self.opinion()
 
+    def memory(self) -> dict[str, object]:
+        """All that it has seen, as JSON can say it: a release outlives its controller."""
+        return {"failed": self.failed, "answers": self.answers, "bets": msgspec.to_builtins(self.bets)}
+
+    def remember(self, memory: dict[str, object]) -> None:
+        """Go on from there."""
+        self.failed = msgspec.convert(memory["failed"], int)
+        self.answers = msgspec.convert(memory["answers"], int)
+        self.bets = msgspec.convert(memory["bets"], tuple[Bet, Bet])
+
     def best(self) -> tuple[float, float]:
         return max(bet.stake() for bet in self.bets), self.wanted
 
--- /dev/null
+++ b/releases/limits.py
@@ -0,0 +1,98 @@
+"""What a release must keep to: the farm's room, and what is reason enough to wait or to turn back. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from releases.acts import Phase, Standing
+from releases.plan import Plan
+from releases.view import Listed, View
+
+MOST_CRASHES = 2  # of released members, and more than of the others
+AWAY = frozenset({Phase.FINDING, Phase.PROVING, Phase.DOWN})  # listed or not, nobody expects it to serve
+
+
+def meet(members: dict[str, Standing], listed: Mapping[str, Listed], version: str) -> None:
+    """Take up who has left the list, come to it, or started anew without being told to.
+
+    Who comes is taken for one of the version before, and goes with the last wave, as nobody planned it.
+    """
+    come = [line for line in listed.values() if line.id not in members]
+    for member in members.values():
+        line = listed.get(member.id)
+        if line is None:
+            replaced = member.phase in AWAY and any(new.zone == member.zone for new in come)
+            if member.phase is Phase.SERVING or replaced:
+                member.phase, member.note = Phase.GONE, "no longer listed"
+        elif member.phase in (Phase.SERVING, Phase.WARMING):
+            if member.started and line.started != member.started and not member.untold:
+                member.crashes += 1
+                member.note = "its process started anew by itself"
+            member.untold = member.untold and line.started == member.started
+            member.started = line.started
+        elif member.phase is Phase.GONE:
+            member.phase, member.note = Phase.SERVING, "listed again"
+            member.crashes += 1
+    last = max((member.wave for member in members.values()), default=0)
+    for line in come:
+        note = "came during the release"
+        members[line.id] = Standing(
+            line.id, line.zone, line.size, version, wave=last, started=line.started, note=note
+        )
+
+
+def broken(members: Iterable[Standing], plan: Plan, served: float | None) -> str:
+    """What ends a release without any comparison; nothing if nothing does."""
+    crashes = {True: 0, False: 0}
+    for member in members:
+        if member.fault:
+            return f"{member.id}: {member.fault}"
+        crashes[member.version == plan.to] += member.crashes
+    if crashes[True] >= MOST_CRASHES and crashes[True] > crashes[False]:
+        return f"released members ended by themselves {crashes[True]} times"
+    if served is not None and served < plan.room.halt_worth and any(m.version == plan.to for m in members):
+        return f"only {served:.2f} of the worth asked for is served"
+    return ""
+
+
+def silent(view: View) -> str:
+    """Which node does not answer, if one doesn't."""
+    found = [node for node in view.nodes.values() if not node.processes]
+    return f"node {found[0].name} does not answer: {found[0].why}" if found else ""
+
+
+def unfit(view: View, plan: Plan, served: float | None) -> str:
+    """Why the farm is in no state for anything new to go out; nothing if it is."""
+    if why := silent(view):
+        return why
+    drained = [node.name for node in view.nodes.values() if not node.ready]
+    if drained:
+        return f"node {drained[0]} does not serve"
+    if view.listed is None:
+        return "the list service does not answer"
+    if served is not None and served < plan.room.worth:
+        return f"{served:.2f} of the worth asked for is served, {plan.room.worth:g} is wanted"
+    return ""
+
+
+def no_room(member: Standing, members: Iterable[Standing], plan: Plan, view: View, back: bool) -> str:
+    """Why a member can't go out now; nothing if it can. Who is out already costs no room.
+
+    On the way back one may always go: what it runs is worse than the room it takes.
+    """
+    if member.out:
+        return ""
+    others = [m for m in members if m.phase is not Phase.GONE]
+    away = sum(m.out for m in others)
+    if away >= plan.room.out_at_once:
+        return f"{away} are out already"
+    if plan.what == "nodes" or (back and not away):
+        return ""  # a node's second process serves before the first ends
+    missing = sum(
+        m.size for m in others if m is not member and (m.phase is not Phase.SERVING or view.cordoned(m.id))
+    )
+    whole = sum(m.size for m in others)
+    stays = whole - missing - member.size
+    if stays < whole * plan.room.capacity - 1e-9:
+        return f"{stays / whole:.2f} of the capacity would stay, {plan.room.capacity:g} is wanted"
+    return ""
--- a/releases/plan.py
+++ b/releases/plan.py
@@ -24,6 +24,9 @@
 Count = Annotated[int, Meta(ge=1, le=10_000)]
 Seconds = Annotated[float, Meta(ge=0, le=86_400)]
 Limit = Annotated[float, Meta(gt=0, le=86_400)]
+Share = Annotated[float, Meta(ge=0, le=1)]
+Words = Annotated[tuple[Text, ...], Meta(min_length=1, max_length=100)]
+FIELDS = {"id", "version", "door"}
 
 
 class PlanError(Exception):
@@ -47,27 +50,41 @@
 
     out_at_once: Count = 1
     capacity: Part = 0.8  # of what the fleet can do, by size, that must not be out or cold at any time
-    worth: Annotated[float, Meta(ge=0, le=1)] = 0.9  # of what is asked for that must be served, or it halts
+    worth: Share = 0.9  # of what is asked for that must be served; below it nothing new goes out
+    halt_worth: Share = 0.5  # below it the release has failed
+    worths: dict[str, Annotated[float, Meta(ge=0)]] = {}  # of a request, by class; 1 for those not named
 
 
 class Watch(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """How long, and how it is judged."""
 
+    before_s: Limit = 20.0  # in which each member's usual answers are measured, before the first wave
+    warm_s: Seconds = 25.0  # that a member needs from its return until it does its full share
     bake_s: Seconds = 30.0  # after each wave, once its servers are warm
+    empty_s: Limit = 30.0  # for what is in flight at one that was taken out
     wait_s: Limit = 600.0  # for a farm that is not fit to go on; then the release gives up, in a safe state
     false_halt: Annotated[float, Meta(gt=0, le=0.2)] = (
         0.01  # chance over the whole release, for a good version
     )
     slower: Annotated[float, Meta(ge=1, le=10)] = 1.1  # times as long as before that nobody minds
-    failures: Annotated[float, Meta(ge=0, le=1)] = 0.002  # more of the answers that may fail unnoticed
+    failures: Share = 0.002  # more of the answers that may fail unnoticed
     on_bad: Literal["back", "hold"] = "back"
 
 
 class Commands(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Argument lists, run without a shell; `{id}` and `{version}` stand for what is restarted."""
+    """Argument lists, run without a shell.
 
-    restart: Annotated[tuple[Text, ...], Meta(min_length=1, max_length=100)]
-    time_limit_s: Limit = 60.0
+    `{id}` and `{version}` stand for what is restarted; of nodes, `{door}` is where the process that is meant
+    has its door. `restart` of a node starts a second process there, `stop` tells one to end. `version` writes
+    what a member runs; `check` tries a member out and ends with 0 if what it answers is right.
+    """
+
+    restart: Words
+    stop: Words | None = None
+    version: Words | None = None
+    check: Words | None = None
+    time_limit_s: Limit = 60.0  # of each
+    ready_s: Limit = 60.0  # from a restart until it answers and is listed
 
 
 class Plan(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -154,23 +171,28 @@
 
 
 def unknown_fields(raw: dict[str, object]) -> Iterator[str]:
-    words = table(raw, "commands").get("restart")
-    if not isinstance(words, list) or not all(isinstance(word, str) for word in words):
-        return
+    fields = FIELDS if raw.get("what") == "nodes" else FIELDS - {"door"}
+    for name in ("restart", "stop", "version", "check"):
+        words = table(raw, "commands").get(name)
+        if isinstance(words, list) and all(isinstance(word, str) for word in words):
+            yield from command_faults(f"commands.{name}", words, fields)
+    if raw.get("what") == "nodes" and "stop" not in table(raw, "commands"):
+        yield "commands.stop: is missing; the process before must be told to end"
+
+
+def command_faults(key: str, words: list[str], allowed: set[str]) -> Iterator[str]:
     named: set[str] = set()
     for i, word in enumerate(words):
         try:
             fields = {field for _, field, _, _ in string.Formatter().parse(word) if field is not None}
         except ValueError as error:
-            yield f"commands.restart[{i}]: {error}"
+            yield f"{key}[{i}]: {error}"
             continue
-        yield from (
-            f"commands.restart[{i}]: {{{field}}} is neither {{id}} nor {{version}}"
-            for field in sorted(fields - {"id", "version"})
-        )
+        choice = ", ".join(f"{{{field}}}" for field in sorted(allowed))
+        yield from (f"{key}[{i}]: {{{f}}} is none of {choice}" for f in sorted(fields - allowed))
         named |= fields
-    if "id" not in named:
-        yield "commands.restart: no {id}: every process would be restarted by the same command"
+    if not named & {"id", "door"}:
+        yield f"{key}: no {{id}}: the same command for every process"
 
 
 def waves(plan: Plan, members: Sequence[Member]) -> list[Wave]:
@@ -207,6 +229,6 @@
     return min(count, plan.room.out_at_once)
 
 
-def command(plan: Plan, member: str, version: str) -> list[str]:
-    """The argument list that restarts a member with a version."""
-    return [word.format(id=member, version=version) for word in plan.commands.restart]
+def command(words: Sequence[str], member: str, version: str, door: str = "") -> list[str]:
+    """The argument list of a command for a member."""
+    return [word.format(id=member, version=version, door=door) for word in words]
--- /dev/null
+++ b/releases/rim/store.py
@@ -0,0 +1,291 @@
+"""The state of a farm's releases, in one SQLite file that is synced at each commit.
+
+Before an act its intent is there, with the state that asks for it, in one transaction; after it what it came
+to. Who acts holds the claim: a row with a number that each taking raises. Every transaction of a controller
+checks the number, so one that was stopped and replaced can write nothing, and ends. The clock is the one that
+goes on in sleep and that nobody sets; with another boot of the machine all its times begin anew.
+"""
+
+from __future__ import annotations
+
+import os
+import sqlite3
+import time
+from collections.abc import Iterator, Mapping, Sequence
+from contextlib import contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from releases.acts import CHANGES, Act, Do, Result, Standing
+from releases.course import Release
+from releases.plan import Plan
+
+FORM = 1  # of the tables; a file of another form is left alone
+LEASE = 10.0  # s after which a claim that was not renewed may be taken
+BUSY = 5.0  # s to wait for another process's transaction
+TABLES = """
+CREATE TABLE IF NOT EXISTS claim (
+    one INTEGER PRIMARY KEY CHECK (one = 1), number INTEGER, holder TEXT, boot TEXT, renewed REAL);
+CREATE TABLE IF NOT EXISTS releases (
+    id INTEGER PRIMARY KEY, plan TEXT, state TEXT, boot TEXT, began REAL, ended REAL);
+CREATE TABLE IF NOT EXISTS members (
+    release INTEGER, id TEXT, body TEXT, PRIMARY KEY (release, id)) WITHOUT ROWID;
+CREATE TABLE IF NOT EXISTS acts (
+    id INTEGER PRIMARY KEY, release INTEGER, at REAL, act TEXT, member TEXT, version TEXT, door TEXT,
+    ended REAL, ok INTEGER, said TEXT);
+CREATE TABLE IF NOT EXISTS orders (
+    id INTEGER PRIMARY KEY, release INTEGER, at REAL, what TEXT, taken REAL, said TEXT);
+"""
+
+
+class StoreError(Exception):
+    """Why the state can't be had, in one line."""
+
+
+class ClaimLost(StoreError):
+    """Another controller acts on this farm now."""
+
+
+def clock() -> float:
+    """s since the machine's start; not set by anybody, and the same in all its processes."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def boot_id() -> str:
+    return Path("/proc/sys/kernel/random/boot_id").read_text().strip()
+
+
+@dataclass(slots=True)
+class Kept:
+    """A release as the file has it. `left` are acts that have no result, by id."""
+
+    id: int
+    plan: Plan
+    release: Release
+    members: dict[str, Standing]
+    left: dict[int, Act]
+    began: float
+    ended: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """One act of a release's history. Times in Unix s; `ok` is None while it has no result."""
+
+    id: int
+    at: float
+    act: str
+    member: str
+    version: str
+    ended: float | None
+    ok: bool | None
+    said: str
+
+
+class Store:
+    """`claim` is 0 for who only reads, or leaves orders."""
+
+    def __init__(self, path: Path, must_exist: bool = False) -> None:
+        self.path, self.claim, self.boot = path, 0, boot_id()
+        if must_exist and not path.exists():
+            raise StoreError(f"{path}: no release has been started on this farm")
+        self.saved: dict[str, bytes] = {}  # members as they were last written
+        try:
+            path.parent.mkdir(parents=True, exist_ok=True)
+            self.db = sqlite3.connect(path, timeout=BUSY, isolation_level=None)
+            form = self.db.execute("PRAGMA user_version").fetchone()[0]
+            if form not in (0, FORM):
+                raise StoreError(f"{path}: written by another version of the program (form {form})")
+            self.db.execute("PRAGMA journal_mode = WAL")
+            self.db.execute("PRAGMA synchronous = FULL")
+            self.db.executescript(TABLES + f"PRAGMA user_version = {FORM};")
+        except sqlite3.Error as error:
+            raise StoreError(f"{path}: {error}") from None
+        except OSError as error:
+            raise StoreError(f"{path}: {error.strerror}") from None
+
+    def close(self) -> None:
+        self.db.close()
+
+    # The claim.
+
+    def take_claim(self) -> None:
+        """Become the one controller; StoreError if there is another."""
+        with self.transaction(claimed=False):
+            found = self.db.execute("SELECT number, holder, boot, renewed FROM claim").fetchone()
+            number, holder, boot, renewed = found or (0, "", "", 0.0)
+            ago = clock() - renewed
+            if holder and boot == self.boot and ago < LEASE:
+                raise StoreError(f"{self.path}: {holder} acts on this farm, last heard of {ago:.1f} s ago")
+            self.claim = number + 1
+            self.db.execute(
+                "INSERT OR REPLACE INTO claim VALUES (1, ?, ?, ?, ?)",
+                (self.claim, f"process {os.getpid()}", self.boot, clock()),
+            )
+
+    def leave_claim(self) -> None:
+        if self.claim:
+            self.db.execute("UPDATE claim SET holder = '' WHERE number = ?", (self.claim,))
+            self.claim = 0
+
+    def holds(self) -> bool:
+        """Whether the claim is still ours, just before an act."""
+        found = self.db.execute("SELECT number FROM claim").fetchone()
+        return found is not None and found[0] == self.claim
+
+    def holder(self) -> str:
+        """Who acts on the farm; empty if nobody does."""
+        found = self.db.execute("SELECT holder, boot, renewed FROM claim").fetchone()
+        alive = found and found[1] == self.boot and clock() - found[2] < LEASE
+        return str(found[0]) if alive else ""
+
+    @contextmanager
+    def transaction(self, claimed: bool = True) -> Iterator[None]:
+        """All or nothing; with the claim checked and renewed."""
+        try:
+            self.db.execute("BEGIN IMMEDIATE")
+            try:
+                if claimed:
+                    done = self.db.execute(
+                        "UPDATE claim SET renewed = ? WHERE number = ?", (clock(), self.claim)
+                    )
+                    if done.rowcount != 1:
+                        raise ClaimLost(f"{self.path}: another controller has taken this farm over")
+                yield
+            except BaseException:
+                self.db.execute("ROLLBACK")
+                raise
+            self.db.execute("COMMIT")
+        except sqlite3.Error as error:
+            raise StoreError(f"{self.path}: {error}") from None
+
+    # Releases.
+
+    def begin(self, plan: Plan, release: Release, members: Mapping[str, Standing]) -> int:
+        """A new release; its id."""
+        text = msgspec.json.encode(plan).decode()
+        with self.transaction():
+            done = self.db.execute(
+                "INSERT INTO releases (plan, state, boot, began) VALUES (?, ?, ?, ?)",
+                (text, msgspec.json.encode(release).decode(), self.boot, time.time()),
+            )
+            number = int(done.lastrowid or 0)
+            self.write_members(number, members)
+        return number
+
+    def write_members(self, number: int, members: Mapping[str, Standing]) -> None:
+        for member in members.values():
+            body = msgspec.json.encode(member)
+            if self.saved.get(member.id) != body:
+                self.saved[member.id] = body
+                line = (number, member.id, body.decode())
+                self.db.execute("INSERT OR REPLACE INTO members VALUES (?, ?, ?)", line)
+
+    def intend(
+        self, number: int, release: Release, members: Mapping[str, Standing], acts: Sequence[Act]
+    ) -> list[int]:
+        """State and intents in one; the acts' ids, 0 for those that change nothing."""
+        ids: list[int] = []
+        with self.transaction():
+            for act in acts:
+                if act.do not in CHANGES:
+                    ids.append(0)
+                    continue
+                done = self.db.execute(
+                    "INSERT INTO acts (release, at, act, member, version, door) VALUES (?, ?, ?, ?, ?, ?)",
+                    (number, time.time(), act.do.value, act.member, act.version, act.door),
+                )
+                ids.append(int(done.lastrowid or 0))
+                members[act.member].open = ids[-1]
+            self.save(number, release, members)
+        return ids
+
+    def save(self, number: int, release: Release, members: Mapping[str, Standing]) -> None:
+        self.db.execute(
+            "UPDATE releases SET state = ?, boot = ? WHERE id = ?",
+            (msgspec.json.encode(release).decode(), self.boot, number),
+        )
+        self.write_members(number, members)
+
+    def record(
+        self, number: int, release: Release, members: Mapping[str, Standing], act: int, result: Result
+    ) -> None:
+        """What an act came to, and the state that follows from it."""
+        with self.transaction():
+            if act:
+                self.db.execute(
+                    "UPDATE acts SET ended = ?, ok = ?, said = ? WHERE id = ?",
+                    (time.time(), result.ok, result.text, act),
+                )
+            self.save(number, release, members)
+
+    def end(self, number: int, release: Release, members: Mapping[str, Standing]) -> None:
+        with self.transaction():
+            self.save(number, release, members)
+            self.db.execute("UPDATE releases SET ended = ? WHERE id = ?", (time.time(), number))
+
+    def newest(self) -> Kept | None:
+        """The last release that was begun, if any was."""
+        try:
+            found = self.db.execute(
+                "SELECT id, plan, state, boot, began, ended FROM releases ORDER BY id DESC LIMIT 1"
+            ).fetchone()
+            if found is None:
+                return None
+            number, plan, state, boot, began, ended = found
+            bodies = self.db.execute("SELECT body FROM members WHERE release = ?", (number,)).fetchall()
+            left = self.db.execute(
+                "SELECT id, act, member, version, door FROM acts WHERE release = ? AND ended IS NULL",
+                (number,),
+            ).fetchall()
+        except sqlite3.Error as error:
+            raise StoreError(f"{self.path}: {error}") from None
+        try:
+            release: Release = msgspec.json.decode(state, type=Release)
+            members: list[Standing] = [msgspec.json.decode(body, type=Standing) for (body,) in bodies]
+            kept_plan: Plan = msgspec.json.decode(plan, type=Plan)
+        except msgspec.MsgspecError as error:
+            raise StoreError(f"{self.path}: release {number}: {error}") from None
+        if boot != self.boot:  # the machine has started anew, and its clock with it
+            for member in members:
+                member.since, member.asked = clock(), -1e9
+            release.waits_since = clock()
+        acts = {at: Act(Do(act), member, version, door) for at, act, member, version, door in left}
+        return Kept(number, kept_plan, release, {m.id: m for m in members}, acts, began, ended)
+
+    def history(self, number: int) -> list[Line]:
+        rows = self.db.execute(
+            "SELECT id, at, act, member, version, ended, ok, said FROM acts WHERE release = ? ORDER BY id",
+            (number,),
+        )
+        return [
+            Line(at, when, act, member, version, ended, None if ok is None else bool(ok), said or "")
+            for at, when, act, member, version, ended, ok, said in rows
+        ]
+
+    # Orders of staff.
+
+    def leave_order(self, number: int, what: str) -> int:
+        with self.transaction(claimed=False):
+            done = self.db.execute(
+                "INSERT INTO orders (release, at, what) VALUES (?, ?, ?)", (number, time.time(), what)
+            )
+            return int(done.lastrowid or 0)
+
+    def orders(self, number: int) -> list[tuple[int, str]]:
+        """Those that nobody has taken yet, in their order."""
+        rows = self.db.execute(
+            "SELECT id, what FROM orders WHERE release = ? AND taken IS NULL ORDER BY id", (number,)
+        )
+        return [(int(at), str(what)) for at, what in rows]
+
+    def answer_order(self, order: int, said: str) -> None:
+        """Within a transaction of the claim's holder, or the order is taken and not kept."""
+        self.db.execute("UPDATE orders SET taken = ?, said = ? WHERE id = ?", (time.time(), said, order))
+
+    def order_answer(self, order: int) -> str | None:
+        """What the controller said to an order; empty: done; None: nothing yet."""
+        found = self.db.execute("SELECT taken, said FROM orders WHERE id = ?", (order,)).fetchone()
+        return None if found is None or found[0] is None else str(found[1])
--- /dev/null
+++ b/releases/trips.py
@@ -0,0 +1,283 @@
+"""The steps of one member, there and back. Pure: told the time, what was seen and what acts came to, it says
+what is to be done next.
+
+A job server is cordoned at every node, emptied, restarted by a command, proved, called back, and is cold for
+a while. A node gets a second process, proved at a door of its own, before the first is told to end.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from releases.acts import Act, Asks, Do, Phase, Result, Standing, Times
+from releases.view import View
+
+MOST_TRIES = 3  # commands for one member and direction that left no trace
+
+
+class Trip(Protocol):
+    """How members of a kind are released."""
+
+    def begin(self, member: Standing, target: str, now: float) -> None: ...
+    def undo(self, member: Standing, now: float, note: str) -> None: ...
+    def step(self, member: Standing, view: View, now: float) -> Act | None: ...
+    def ended(self, member: Standing, act: Act, result: Result, now: float) -> None: ...
+    def recover(self, member: Standing, act: Act, now: float) -> None: ...
+
+
+class Steps:
+    """What both kinds share: the command, finding out what it did, and the proof."""
+
+    def __init__(self, times: Times, asks: Asks) -> None:
+        self.times, self.asks = times, asks
+
+    def paced(self, member: Standing, act: Act, now: float) -> Act | None:
+        """The act, unless something was asked about the member a moment ago."""
+        if now - member.asked < self.times.again:
+            return None
+        member.asked = now
+        return act
+
+    def restart(self, member: Standing, now: float, door: str = "") -> Act:
+        member.lost, member.before = False, member.started
+        member.go(Phase.RESTARTING, now)
+        return Act(Do.RUN, member.id, member.target, door)
+
+    def recover(self, member: Standing, act: Act, now: float) -> None:
+        """An act whose result nobody has. All but the command are simply made again."""
+        if act.do is Do.RUN:
+            member.lost = True
+            member.go(Phase.FINDING, now, "its command's result was lost with the controller")
+
+    def warming(self, member: Standing, now: float) -> None:
+        if now - member.since >= self.times.warm:
+            if member.note == "":
+                member.tries = 0
+            member.target = ""
+            member.go(Phase.SERVING, now)
+
+    def fail(self, member: Standing, now: float, fault: str) -> None:
+        """It is not fit to serve as what it should be."""
+        member.fault = fault
+        member.go(Phase.DOWN, now, fault)
+
+
+class ServerTrip(Steps):
+    """A job server's."""
+
+    def begin(self, member: Standing, target: str, now: float) -> None:
+        """Outward, or straight to the command where it is out already."""
+        member.target = target
+        member.tries += 1
+        if member.phase is Phase.DOWN:
+            member.go(Phase.AGAIN, now, "")
+        else:
+            member.go(Phase.TAKING_OUT, now, "")
+
+    def undo(self, member: Standing, now: float, note: str) -> None:
+        """Before the command: back to service as it was."""
+        member.target = member.version
+        member.go(Phase.RETURNING, now, note)
+
+    def step(self, member: Standing, view: View, now: float) -> Act | None:
+        phase = member.phase
+        if phase is Phase.TAKING_OUT:
+            return Act(Do.CORDON, member.id)
+        if phase is Phase.EMPTYING:
+            return self.empty(member, view, now)
+        if phase is Phase.AGAIN:
+            return self.restart(member, now)
+        if phase is Phase.FINDING:
+            return self.find(member, view, now)
+        if phase is Phase.PROVING:
+            return self.prove(member, view, now)
+        if phase is Phase.RETURNING:
+            return self.paced(member, Act(Do.UNCORDON, member.id), now)
+        if phase is Phase.WARMING:
+            self.warming(member, now)
+        return None
+
+    def empty(self, member: Standing, view: View, now: float) -> Act | None:
+        """Nothing in flight, as every node said after the cordon: now the command."""
+        out = view.out(member.id) if view.at > member.since else None
+        if out == 0:
+            return self.restart(member, now)
+        if now - member.since > self.times.empty:
+            left = "not every node answers" if out is None else f"{out} requests are in flight there"
+            self.undo(member, now, f"not empty after {self.times.empty:g} s: {left}")
+        return None
+
+    def find(self, member: Standing, view: View, now: float) -> Act | None:
+        """What its command did: the version that runs says it, or a start that the list tells of."""
+        if self.asks.version:
+            act = self.paced(member, Act(Do.ASK, member.id, member.target), now)
+        else:
+            act = None
+            line = (view.listed or {}).get(member.id)
+            if line is not None and line.started != member.before:
+                member.go(Phase.PROVING, now)
+        limit = self.times.command + self.times.settle
+        if member.phase is Phase.FINDING and now - member.since > limit:
+            self.without_trace(member, now)
+            return None
+        return act
+
+    def without_trace(self, member: Standing, now: float) -> None:
+        """The command did nothing: it goes back as it was, to be tried again where only the result was
+        lost."""
+        if not member.lost or member.tries >= MOST_TRIES:
+            member.fault = member.note or "its command did nothing"
+        member.target, member.before = member.version, -1  # the list owes no news of a start
+        member.go(Phase.PROVING, now)
+
+    def prove(self, member: Standing, view: View, now: float) -> Act | None:
+        """It answers, runs what it should, answers rightly, and is listed: in that order."""
+        if now - member.since > self.times.ready:
+            self.fail(member, now, f"not ready {self.times.ready:g} s after its restart: {member.note}")
+            return None
+        if member.proved == 0:
+            return self.paced(member, Act(Do.PING, member.id), now)
+        if member.proved == 1 and self.asks.version:
+            return self.paced(member, Act(Do.ASK, member.id, member.target), now)
+        if member.proved <= 2 and self.asks.check:
+            return self.paced(member, Act(Do.CHECK, member.id, member.target), now)
+        line = (view.listed or {}).get(member.id)
+        fresh = line is not None and (line.started != member.before or now - member.since > self.times.settle)
+        if line is None or line.lifecycle != "active" or not fresh:
+            member.note = "the list does not have it yet"
+            return None
+        member.version, member.started = member.target, line.started
+        member.untold = line.started == member.before
+        member.go(Phase.RETURNING, now, "")
+        return self.paced(member, Act(Do.UNCORDON, member.id), now)
+
+    def ended(self, member: Standing, act: Act, result: Result, now: float) -> None:
+        if act.do is Do.CORDON:
+            if result.ok:
+                member.go(Phase.EMPTYING, now)
+            else:
+                self.undo(member, now, f"not taken out: {result.text}")
+        elif act.do is Do.UNCORDON:
+            if result.ok:
+                member.go(Phase.WARMING, now)
+            else:
+                member.note = f"not called back yet: {result.text}"
+        elif act.do is Do.RUN:
+            member.go(Phase.PROVING if result.ok else Phase.FINDING, now, result.text)
+        elif member.phase is Phase.FINDING:
+            if result.ok and result.text == member.target:
+                member.go(Phase.PROVING, now, "")
+        elif member.phase is Phase.PROVING:
+            self.proved(member, act, result, now)
+
+    def proved(self, member: Standing, act: Act, result: Result, now: float) -> None:
+        member.note = "" if result.ok else result.text
+        if act.do is Do.PING and result.ok:
+            member.proved = 1
+        elif act.do is Do.ASK and result.ok:
+            if result.text == member.target:
+                member.proved = 2
+            else:
+                member.note = f"it runs {result.text}, not {member.target}"
+        elif act.do is Do.CHECK:
+            if result.ok:
+                member.proved = 3
+            elif result.known:
+                member.version = member.target
+                self.fail(member, now, f"it answers wrongly: {result.text}")
+
+
+class NodeTrip(Steps):
+    """A node's: nothing is out at any time, if all goes well."""
+
+    def begin(self, member: Standing, target: str, now: float) -> None:
+        member.target = target
+        member.tries += 1
+        member.go(Phase.EMPTYING, now, "")
+
+    def undo(self, member: Standing, now: float, note: str) -> None:
+        member.target = ""
+        member.go(Phase.SERVING, now, note)
+
+    def doors(self, member: Standing) -> tuple[str, str]:
+        """Where the process that serves has its door, and where a successor gets it."""
+        doors = self.asks.doors[member.id]
+        return doors[member.door], doors[(member.door + 1) % len(doors)]
+
+    def step(self, member: Standing, view: View, now: float) -> Act | None:
+        phase, node = member.phase, view.nodes[member.id]
+        before, after = self.doors(member)
+        if phase is Phase.EMPTYING:
+            if node.at(after) is not None:
+                self.undo(member, now, f"somebody's process has its door at {after} already")
+                return None
+            return self.restart(member, now, after)
+        if phase is Phase.FINDING:
+            if node.at(after) is not None:
+                member.go(Phase.PROVING, now)
+            elif now - member.since > self.times.command + self.times.settle:
+                if not member.lost or member.tries >= MOST_TRIES:
+                    member.fault = member.note or "its command started nothing"
+                self.undo(member, now, member.note)
+            return None
+        if phase is Phase.PROVING:
+            return self.prove(member, view, now)
+        if phase is Phase.HANDING:
+            return self.paced(member, Act(Do.STOP, member.id, member.version, before), now)
+        if phase is Phase.LEAVING:
+            self.leave(member, view, now)
+        if phase is Phase.DOWN:  # its second process never said yes: it ends, the first serves on
+            return self.paced(member, Act(Do.STOP, member.id, member.target, after), now)
+        if phase is Phase.WARMING:
+            self.warming(member, now)
+        return None
+
+    def prove(self, member: Standing, view: View, now: float) -> Act | None:
+        _, after = self.doors(member)
+        process = view.nodes[member.id].at(after)
+        if now - member.since > self.times.ready:
+            said = process.health if process else "no answer at its door"
+            fault = f"not ready {self.times.ready:g} s after its start: {member.note or said}"
+            self.fail(member, now, fault)
+        elif process is not None and process.ready:
+            if member.proved == 0 and self.asks.version:
+                return self.paced(member, Act(Do.ASK, member.id, member.target, after), now)
+            if member.proved <= 1 and self.asks.check:
+                return self.paced(member, Act(Do.CHECK, member.id, member.target, after), now)
+            member.go(Phase.HANDING, now, "")
+        return None
+
+    def leave(self, member: Standing, view: View, now: float) -> None:
+        """The process before is gone from its door, and the new one serves."""
+        before, after = self.doors(member)
+        node = view.nodes[member.id]
+        if view.at > member.since and node.at(before) is None and node.at(after) is not None:
+            member.door = self.asks.doors[member.id].index(after)
+            member.version = member.target
+            member.go(Phase.WARMING, now, "")
+        elif now - member.since > self.times.ready:
+            member.fault = "two processes of it run on, though the first was told to end"
+            member.go(Phase.HANDING, now, member.fault)
+
+    def ended(self, member: Standing, act: Act, result: Result, now: float) -> None:
+        if act.do is Do.RUN:
+            member.go(Phase.PROVING if result.ok else Phase.FINDING, now, result.text)
+        elif act.do is Do.STOP and member.phase is Phase.HANDING:
+            member.note = "" if result.ok else f"not told to end: {result.text}"
+            if result.ok:
+                member.go(Phase.LEAVING, now)
+            elif now - member.since > self.times.ready:  # the new one serves; it must not be ended now
+                member.fault = member.note
+        elif act.do is Do.STOP and member.phase is Phase.DOWN:
+            if result.ok:
+                self.undo(member, now, member.note)
+        elif act.do is Do.ASK:
+            if result.ok and result.text == member.target:
+                member.proved = 1
+            else:
+                member.note = f"it says {result.text}, not {member.target}"
+        elif act.do is Do.CHECK:
+            if result.ok:
+                member.proved = 2
+            elif result.known:
+                self.fail(member, now, f"it answers wrongly: {result.text}")
--- /dev/null
+++ b/tests/farms.py
@@ -0,0 +1,251 @@
+"""A farm in memory for releases: what acts do to it, and what a look shows. Time is the test's."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from releases.acts import CHANGES, Act, Do, Result
+from releases.course import ENDED, Course, Release, line_up
+from releases.plan import Member, Plan, parse_plan
+from releases.rim.store import Store
+from releases.view import Answers, Held, Listed, NodeView, Process, View
+
+PLAN = """
+name = "v2"
+what = "{what}"
+from = "v1"
+to = "v2"
+[commands]
+restart = ["restart", "{{id}}", "{{version}}"]
+stop = ["stop", "{{id}}", "{{door}}"]
+version = ["version", "{{id}}"]
+check = ["check", "{{id}}"]
+time_limit_s = 5
+ready_s = 10
+[waves]
+canary = 1
+shares = [0.5, 1]
+[room]
+capacity = 0.6
+worth = 0.8
+[watch]
+before_s = 3
+warm_s = 2
+bake_s = 4
+empty_s = 5
+wait_s = 30
+{watch}
+"""
+
+
+def plan(what: str = "servers", watch: str = "") -> Plan:
+    text = PLAN.format(what=what, watch=watch)
+    return parse_plan(text if what == "nodes" else text.replace('stop = ["stop", "{id}", "{door}"]\n', ""))
+
+
+@dataclass
+class Server:
+    version: str = "v1"
+    started: int = 1000
+    up: bool = True
+    restarts: list[str] = field(default_factory=list)
+
+
+class FakeFarm:
+    """`slower`, `failing`, `broken` say what is wrong with a version; `silent` nodes do not answer."""
+
+    def __init__(self, servers: int = 4, nodes: int = 3, seed: int = 1) -> None:
+        self.chance = random.Random(seed)
+        self.servers = {f"s-{i}": Server() for i in range(servers)}
+        self.cordons: dict[str, set[str]] = {f"n{i}": set() for i in range(nodes)}
+        self.doors: dict[str, dict[str, str]] = {n: {f"{n}a": "v1"} for n in self.cordons}  # door: version
+        self.silent: set[str] = set()
+        self.failing: dict[str, float] = {}  # share of answers, by version
+        self.slower: dict[str, float] = {}
+        self.never_ready: set[str] = set()
+        self.wrong: set[str] = set()
+        self.hanging: set[str] = set()  # versions that the restart command hangs on
+        self.served = 1.0
+        self.now, self.done = 0.0, 0
+        self.counts: dict[tuple[str, str], tuple[int, int, Counter[int]]] = {}
+        self.results = {n: (0, 0, 0) for n in self.cordons}
+        self.most_out = 0
+
+    # What a look shows.
+
+    def pass_second(self) -> None:
+        """A second of traffic at every server in use."""
+        self.now += 1.0
+        self.most_out = max(self.most_out, sum(not self.used(s) for s in self.servers))
+        for node in self.cordons:
+            bad = 0
+            for name, server in self.servers.items():
+                if name in self.cordons[node] or not server.up:
+                    continue
+                failed = sum(
+                    self.chance.random() < self.failing.get(server.version, 0.002) for _ in range(15)
+                )
+                long = self.slower.get(server.version, 1.0)
+                took = Counter(
+                    int(4 * math.log2(1 + 40 * long * math.exp(self.chance.gauss(0, 0.4)))) for _ in range(15)
+                )
+                key = node, name
+                ok, bads, bins = self.counts.get(key, (0, 0, Counter()))
+                self.counts[key] = ok + 15 - failed, bads + failed, bins + took
+                bad += failed
+            served, refused, aborted = self.results[node]
+            whole = round(60 * self.served)
+            self.results[node] = served + whole, refused + 60 - whole, aborted + bad
+
+    def used(self, name: str) -> bool:
+        return self.servers[name].up and not any(name in out for out in self.cordons.values())
+
+    def look(self) -> View:
+        nodes = {n: self.node(n) for n in self.cordons}
+        lines = {
+            name: Listed(name, name, "z", 1.0, "active", s.started)
+            for name, s in self.servers.items()
+            if s.up
+        }
+        return View(self.now, nodes, lines)
+
+    def node(self, node: str) -> NodeView:
+        if node in self.silent:
+            return NodeView(node, (), "no answer within 1 s")
+        servers = {}
+        for name, server in self.servers.items():
+            ok, bad, bins = self.counts.get((node, name), (0, 0, Counter()))
+            answers = {"build": Answers(ok, bad, 0, Counter(bins))}
+            servers[name] = Held(0, name in self.cordons[node], server.started, answers)
+        found = [
+            Process(door, self.health(door, version), servers, {"build": self.results[node]})
+            for door, version in self.doors[node].items()
+        ]
+        return NodeView(node, tuple(found))
+
+    def health(self, door: str, version: str) -> str:
+        return "starting" if door.endswith("b") and version in self.never_ready else "ready"
+
+    # What acts do.
+
+    def do(self, act: Act) -> Result:
+        self.done += 1
+        if act.do in (Do.CORDON, Do.UNCORDON):
+            silent = sorted(self.silent)
+            for node in set(self.cordons) - self.silent:
+                if act.do is Do.CORDON:
+                    self.cordons[node].add(act.member)
+                else:
+                    self.cordons[node].discard(act.member)
+            return Result(not silent, f"{silent[0]}: no answer" if silent else "")
+        if act.member in self.cordons:
+            return self.at_node(act)
+        server = self.servers[act.member]
+        if act.do is Do.RUN:
+            assert all(act.member in out for out in self.cordons.values()), "restarted while in use"
+            server.restarts.append(act.version)
+            if act.version in self.hanging:
+                return Result(False, "restart: not done after 5 s", known=False)
+            server.version, server.started = act.version, int(1000 * (2 + self.now))
+            server.up = act.version not in self.never_ready
+            for node in self.cordons:
+                self.counts.pop((node, act.member), None)
+        if act.do is Do.PING:
+            return Result(server.up, "" if server.up else "connection refused")
+        if act.do is Do.CHECK:
+            return Result(server.version not in self.wrong, "41 is not 42")
+        return Result(True, server.version)
+
+    def at_node(self, act: Act) -> Result:
+        doors = self.doors[act.member]
+        if act.do is Do.RUN and act.version not in self.hanging:
+            assert act.door not in doors, "started twice"
+            doors[act.door] = act.version
+        elif act.do is Do.STOP:
+            doors.pop(act.door, None)
+        elif act.do is Do.ASK:
+            return Result(act.door in doors, doors.get(act.door, "no answer"))
+        elif act.do is Do.CHECK:
+            return Result(act.version not in self.wrong, "41 is not 42")
+        hung = act.do is Do.RUN and act.version in self.hanging
+        return Result(not hung, "start: not done after 5 s" if hung else "", known=not hung)
+
+
+class Killed(Exception):
+    """The controller was killed at this point."""
+
+
+class Run:
+    """A release carried out on a fake farm, as the controller does it, killed where the test wants it."""
+
+    def __init__(self, farm: FakeFarm, wanted: Plan, path: Path) -> None:
+        self.farm, self.plan, self.path = farm, wanted, path
+        self.points = 0  # places passed at which a controller may be killed
+        self.kill_at: set[int] = set()
+        self.start()
+
+    def start(self) -> None:
+        self.store = Store(self.path)
+        self.store.take_claim()
+        kept = self.store.newest()
+        nodes = {n: (f"{n}a", f"{n}b") for n in self.farm.cordons}
+        if kept is None:
+            names = nodes if self.plan.what == "nodes" else self.farm.servers
+            members = line_up(self.plan, [Member(name, "z", 1.0) for name in names])
+            self.number = self.store.begin(self.plan, Release(), members)
+            kept = self.store.newest()
+        assert kept is not None
+        self.number, self.release, self.members = kept.id, kept.release, kept.members
+        self.course = Course(kept.plan, kept.release, kept.members, nodes)
+        kept.release.looked, kept.release.waiting = -1.0, ""
+        for member in kept.members.values():
+            member.open = 0
+        for act in kept.left.values():
+            self.course.recover(act, self.farm.now)
+        for number in kept.left:
+            lost = Result(False, "lost", known=False)
+            self.store.record(self.number, self.release, self.members, number, lost)
+
+    def point(self) -> None:
+        self.points += 1
+        if self.points in self.kill_at:
+            raise Killed
+
+    def second(self) -> None:
+        """One look and what follows from it; a controller that is killed starts again."""
+        self.farm.pass_second()
+        try:
+            acts = self.course.tick(self.farm.now, self.farm.look())
+            changing = any(act.do in CHANGES for act in acts)
+            if changing:
+                self.point()
+            ids = self.store.intend(self.number, self.release, self.members, acts)
+            for number, act in zip(ids, acts, strict=True):
+                if number:
+                    self.point()
+                result = self.farm.do(act)
+                if number:
+                    self.point()
+                self.members[act.member].open = 0
+                self.course.ended(act, result, self.farm.now)
+                self.store.record(self.number, self.release, self.members, number, result)
+        except Killed:
+            self.store.leave_claim()  # as if its lease had run out
+            self.store.close()
+            self.start()
+
+    def run(self, seconds: int = 900) -> Release:
+        """Until the release is over."""
+        for _ in range(seconds):
+            if self.course.over:
+                break
+            self.second()
+        return self.release
+
+    @property
+    def ended(self) -> bool:
+        return self.release.state in ENDED and self.course.over
--- /dev/null
+++ b/tests/test_release_course.py
@@ -0,0 +1,194 @@
+"""Releases on a farm in memory: what they do, when they wait, and what a kill at any point leaves."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+
+import pytest
+
+from releases.course import Release, State
+from releases.rim.store import ClaimLost, Store, StoreError
+from tests.farms import FakeFarm, Run, plan
+
+KINDS = ("servers", "nodes")
+
+
+def versions(farm: FakeFarm, what: str) -> set[str]:
+    if what == "servers":
+        return {server.version for server in farm.servers.values()}
+    return {version for doors in farm.doors.values() for version in doors.values()}
+
+
+def at_rest(farm: FakeFarm) -> bool:
+    """Every server in use, every node one process."""
+    return all(farm.used(s) for s in farm.servers) and all(len(doors) == 1 for doors in farm.doors.values())
+
+
+@pytest.mark.parametrize("what", KINDS)
+def test_a_good_version_goes_out_wave_by_wave_and_leaves_nothing_out(tmp_path: Path, what: str) -> None:
+    farm = FakeFarm()
+    run = Run(farm, plan(what), tmp_path / "state")
+    assert run.run().state is State.DONE
+    assert versions(farm, what) == {"v2"} and at_rest(farm) and farm.most_out <= 1
+    assert all(server.restarts in (["v2"], []) for server in farm.servers.values())
+
+
+BAD = {
+    "slower": ("worse than the rest", {}),
+    "failing": ("worse than the rest", {}),
+    "never ready": ("not ready", {}),
+    "wrong": ("answers wrongly", {}),
+    "hanging": ("not done after", {}),
+}
+
+
+@pytest.mark.parametrize("what", KINDS)
+@pytest.mark.parametrize("fault", BAD)
+@pytest.mark.parametrize("on_bad", ["back", "hold"])
+def test_a_bad_version_is_halted_at_the_canary(tmp_path: Path, what: str, fault: str, on_bad: str) -> None:
+    farm = FakeFarm(servers=6)
+    farm.slower["v2"] = 2.0 if fault == "slower" and what == "servers" else 1.0
+    farm.failing["v2"] = 0.1 if fault == "failing" else 0.002
+    for name, versions_of in (
+        ("never ready", farm.never_ready), ("wrong", farm.wrong), ("hanging", farm.hanging),
+    ):  # fmt: skip
+        versions_of |= {"v2"} if fault == name else set()
+    if what == "nodes" and fault in ("slower", "failing"):
+        return  # what a node's own version does to its answers is the live test's
+    run = Run(farm, plan(what, f'on_bad = "{on_bad}"'), tmp_path / "state")
+    release = run.run()
+    assert release.state is (State.WENT_BACK if on_bad == "back" else State.HALTED), release
+    assert BAD[fault][0] in release.why and release.wave == 0
+    assert sum(len(server.restarts) for server in farm.servers.values()) <= 2
+    if on_bad == "back":
+        assert versions(farm, what) == {"v1"} and at_rest(farm)
+
+
+def test_going_back_that_fails_leaves_the_server_out_and_says_so(tmp_path: Path) -> None:
+    farm = FakeFarm()
+    farm.never_ready = {"v1", "v2"}
+    run = Run(farm, plan(), tmp_path / "state")
+    assert run.run().state is State.WENT_BACK
+    [down] = [m for m in run.members.values() if m.phase.value.startswith("not in service")]
+    assert not farm.servers[down.id].up and "not ready" in down.note
+    assert sum(not farm.used(name) for name in farm.servers) == 1
+
+
+WAITS = {
+    "silent node": ("does not answer", lambda farm, on: farm.silent.update({"n1"} if on else ())),
+    "burst": ("of the worth", lambda farm, on: setattr(farm, "served", 0.6 if on else 1.0)),
+    "another's cordon": ("hand", lambda farm, on: [out.add("s-2") for out in farm.cordons.values()]),
+}
+
+
+@pytest.mark.parametrize("name", WAITS)
+@pytest.mark.parametrize("heals", [True, False])
+def test_an_unfit_farm_is_waited_for_and_given_up_on(tmp_path: Path, name: str, heals: bool) -> None:
+    farm, (word, set_fault) = FakeFarm(servers=6), WAITS[name]
+    run = Run(farm, plan(), tmp_path / "state")
+    for _ in range(20):
+        run.second()
+    set_fault(farm, True)
+    reasons = set()
+    for _ in range(100):
+        run.second()
+        reasons.add(run.release.waiting)
+        if heals and any(word in reason for reason in reasons):
+            farm.silent.clear()
+            farm.served = 1.0
+            for out in farm.cordons.values():
+                out.discard("s-2")
+            break
+    farm.silent.clear()  # somebody repairs it in the end, or what is out there could never come back
+    release = run.run()
+    assert any(word in reason for reason in reasons), reasons
+    assert release.state is (State.DONE if heals else State.GAVE_UP)
+    ours = {name for name in farm.servers if not farm.used(name)}
+    assert ours <= ({"s-2"} if name == "another's cordon" else set())
+
+
+def test_a_server_replaced_under_a_new_id_leaves_the_release_and_the_new_one_joins(tmp_path: Path) -> None:
+    farm = FakeFarm()
+    run = Run(farm, plan(), tmp_path / "state")
+    for _ in range(12):
+        run.second()
+    farm.servers["s-9"] = farm.servers.pop("s-3")
+    assert run.run().state is State.DONE
+    assert run.members["s-3"].phase.value == "left the farm" and versions(farm, "servers") == {"v2"}
+
+
+def test_staff_can_pause_go_on_and_call_back(tmp_path: Path) -> None:
+    farm = FakeFarm()
+    run = Run(farm, plan(), tmp_path / "state")
+    while not any(server.version == "v2" for server in farm.servers.values()):
+        run.second()
+    assert run.course.order("pause") == "" and run.course.order("pause") == "the release is paused"
+    for _ in range(40):
+        run.second()
+    assert at_rest(farm) and sum(s.version == "v2" for s in farm.servers.values()) == 1
+    assert run.course.order("resume") == ""
+    for _ in range(10):
+        run.second()
+    assert run.course.order("back") == ""
+    assert run.run().state is State.WENT_BACK and versions(farm, "servers") == {"v1"} and at_rest(farm)
+
+
+@pytest.mark.parametrize("what", KINDS)
+@pytest.mark.parametrize("bad", [False, True])
+def test_a_controller_killed_at_every_step_in_turn_leaves_nobody_out(
+    tmp_path: Path, what: str, bad: bool
+) -> None:
+    """Before the intent, between it and the act, and between the act and its result."""
+    at = points = 0
+    while at <= points:
+        farm = FakeFarm(servers=4, nodes=3)
+        if bad:
+            farm.wrong = {"v2"}
+        run = Run(farm, plan(what), tmp_path / f"state-{at}")
+        run.kill_at = {at} if at else set()
+        release = run.run()
+        points = points or run.points
+        assert release.state is (State.WENT_BACK if bad else State.DONE), (at, release)
+        assert versions(farm, what) == ({"v1"} if bad else {"v2"}) and at_rest(farm), at
+        for server in farm.servers.values():  # what a command has done it is not asked for again
+            assert server.restarts in ([], ["v2"], ["v2", "v1"]), (at, server.restarts)
+        run.store.close()
+        at += 1
+    assert points >= 16 or bad
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_kills_and_silent_nodes_at_random_end_in_a_safe_state(tmp_path: Path, seed: int) -> None:
+    chance, farm = random.Random(seed), FakeFarm(seed=seed)
+    run = Run(farm, plan(), tmp_path / "state")
+    run.kill_at = {chance.randint(1, 60) for _ in range(8)}
+    while not run.course.over and farm.now < 900:
+        farm.silent = {"n1"} if chance.random() < 0.05 else set()
+        run.second()
+    assert run.ended and at_rest(farm) and farm.most_out <= 1
+    assert len(versions(farm, "servers")) == 1 or run.release.state is State.GAVE_UP
+
+
+def test_one_controller_acts_and_one_that_lost_its_claim_writes_nothing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    first, second = Store(tmp_path / "state"), Store(tmp_path / "state")
+    first.take_claim()
+    with pytest.raises(StoreError, match="acts on this farm"):
+        second.take_claim()
+    monkeypatch.setattr("releases.rim.store.LEASE", 0.0)  # the first was stopped for long
+    second.take_claim()
+    assert not first.holds() and second.holds()
+    with pytest.raises(ClaimLost):
+        first.intend(1, Release(), {}, [])
+    first.leave_claim()
+    assert second.holds()
+
+
+def test_a_state_file_that_is_none_is_told_in_one_line(tmp_path: Path) -> None:
+    (tmp_path / "state").write_bytes(b"no database" * 100)
+    with pytest.raises(StoreError, match="state: file is not a database"):
+        Store(tmp_path / "state")
+    with pytest.raises(StoreError, match="no release has been started"):
+        Store(tmp_path / "none", must_exist=True)
--- a/tests/test_release_plan.py
+++ b/tests/test_release_plan.py
@@ -33,7 +33,7 @@
 def test_a_good_plan_is_read_and_makes_its_commands() -> None:
     plan = parse_plan(GOOD)
     assert (plan.from_, plan.to, plan.room, plan.waves.canary) == ("v1", "v2", Room(), 2)
-    assert command(plan, "s-1", "v2") == ["restart-server", "--id=s-1", "v2"]
+    assert command(plan.commands.restart, "s-1", "v2") == ["restart-server", "--id=s-1", "v2"]
 
 
 def test_every_fault_is_told_at_once_with_its_key() -> None:
