flaxstep release: a controller that looks, writes its intent down, acts, and can be killed

Need: the course decided on a farm in memory only. Change: rim/look.py asks every door and the list at once, hands.py cordons at all nodes, pings and runs commands without a shell, controller.py joins them to the course and the state; the command line has check, run, status, pause, resume, back, history and close. The node imports none of it.

--- a/flaxstep/cli.py
+++ b/flaxstep/cli.py
@@ -12,6 +12,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from flaxstep.cli_release import release
 from flaxstep.cli_rig import demo_command, load_command, rig
 from flaxstep.lab.play import NotPlayable, encode, play_with
 from flaxstep.lab.scenario import ScenarioError, read_scenario
@@ -29,6 +30,7 @@
 main.add_command(demo_command)
 main.add_command(rig)
 main.add_command(load_command)
+main.add_command(release)
 
 
 @main.group()
--- /dev/null
+++ b/flaxstep/cli_release.py
@@ -0,0 +1,334 @@
+"""`flaxstep release`: staged releases of job servers and nodes, with a halt and a way back."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import click
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+from flaxstep.refusal import Refusal
+from releases.acts import Phase
+from releases.course import State
+from releases.farm import Farm, read_farm
+from releases.limits import unfit
+from releases.plan import Plan, PlanError, at_once, read_plan, waves
+from releases.rim.controller import Controller, members_of, open_release
+from releases.rim.look import look
+from releases.rim.store import ClaimLost, Kept, Store, StoreError, clock
+
+STOPPED = 130
+ORDER_TIME = 5.0  # s to wait for a controller's answer to an order
+FARM = click.option(
+    "--farm", "farm_path", type=click.Path(path_type=Path), default=Path("farm.toml"), show_default=True,
+    help="The farm file.",
+)  # fmt: skip
+JSON = click.option("--json", "as_json", is_flag=True, help="As JSON.")
+
+
+@click.group()
+def release() -> None:
+    """Staged releases: a canary, then waves, judged beside the rest, with a halt and a way back.
+
+    Exit codes: 0 done; 1 it halted, went back or gave up, or there is no room; 2 it can't be done;
+    130 the controller was ended, and 'run' goes on from where it stood.
+    """
+
+
+@contextmanager
+def refusing() -> Iterator[None]:
+    """What can't be done is a line (a fault each, of plans), not a traceback."""
+    try:
+        yield
+    except (PlanError, StoreError) as error:
+        raise Refusal(str(error)) from None
+
+
+@release.command("check")
+@click.argument("plan_path", metavar="PLAN", type=click.Path(path_type=Path))
+@FARM
+@JSON
+def check_command(plan_path: Path, farm_path: Path, as_json: bool) -> None:
+    """Say what each wave of PLAN would do on the live farm, and whether there is room. Nothing is changed.
+
+    Example: flaxstep release check v2.toml --farm farm.toml
+    """
+    with refusing():
+        plan, farm = read_plan(plan_path), read_farm(farm_path)
+        found = asyncio.run(survey(farm, plan))
+    if as_json:
+        click.echo(msgspec.json.encode(found))
+    else:
+        show_survey(found)
+    sys.exit(1 if found.reasons else 0)
+
+
+class WaveLine(msgspec.Struct):
+    """What a wave would do."""
+
+    zone: str
+    members: list[str]
+    at_once: int
+    capacity_left: float
+    least_s: float
+
+
+class Survey(msgspec.Struct):
+    """What `check` found; `reasons` speak against beginning now."""
+
+    plan: str
+    what: str
+    to: str
+    waves: list[WaveLine]
+    reasons: list[str]
+
+
+async def survey(farm: Farm, plan: Plan) -> Survey:
+    members = await members_of(farm, plan)
+    view = await look(farm, clock())
+    whole = sum(member.size for member in members)
+    lines, reasons = [], [reason] if (reason := unfit(view, plan, None)) else []
+    for number, wave in enumerate(waves(plan, members), 1):
+        count = at_once(plan, wave, members) if plan.what == "servers" else plan.room.out_at_once
+        largest = sorted((member.size for member in wave.members), reverse=True)[: max(count, 1)]
+        left = 1 - sum(largest) / whole if plan.what == "servers" else 1.0
+        if not count:
+            reasons.append(f"wave {number}: no room for one: {left:.2f} of the capacity would stay")
+        least = plan.watch.bake_s + -(-len(wave.members) // max(count, 1)) * plan.watch.warm_s
+        lines.append(WaveLine(wave.zone, [m.id for m in wave.members], count, round(left, 4), least))
+    if plan.what == "servers":
+        taken = [member.id for member in members if view.cordoned(member.id)]
+        reasons += [f"{name} is out by somebody's hand" for name in taken]
+    return Survey(plan.name, plan.what, plan.to, lines, reasons)
+
+
+def show_survey(found: Survey) -> None:
+    console = Console(highlight=False, width=110)
+    table = Table("wave", "zone", "members", "at once", "capacity left", "takes at least")
+    for number, line in enumerate(found.waves, 1):
+        names = ", ".join(line.members[:4]) + (f" and {len(line.members) - 4} more" * (len(line.members) > 4))
+        left = f"{line.capacity_left:.2f}"
+        table.add_row(str(number), line.zone, names, str(line.at_once), left, f"{line.least_s:.0f} s")
+    console.print(f"{found.plan}: {found.what} to {found.to}")
+    console.print(table)
+    for reason in found.reasons:
+        console.print(f"not now: {reason}")
+    console.print("not fit to begin" if found.reasons else "there is room; nothing speaks against it now")
+
+
+@release.command("run")
+@click.argument("plan_path", metavar="PLAN", type=click.Path(path_type=Path))
+@FARM
+def run_command(plan_path: Path, farm_path: Path) -> None:
+    """Carry PLAN out, or go on with it where a controller that was ended has left it.
+
+    Example: flaxstep release run v2.toml --farm farm.toml
+    """
+    with refusing():
+        plan, farm = read_plan(plan_path), read_farm(farm_path)
+        store = Store(Path(farm.state))
+        store.take_claim()
+        kept = None
+        try:
+            kept = asyncio.run(carry_out(farm, store, plan, say))
+        except ClaimLost:
+            raise
+        except (KeyboardInterrupt, asyncio.CancelledError):
+            click.echo("flaxstep: ended; 'release run' goes on from here", err=True)
+        finally:
+            store.leave_claim()
+            store.close()
+    if kept is None:
+        sys.exit(STOPPED)
+    show_end(kept)
+    sys.exit(0 if kept.release.state is State.DONE else 1)
+
+
+def say(line: str) -> None:
+    click.echo(f"{time.strftime('%H:%M:%S')} {line}")
+
+
+async def carry_out(farm: Farm, store: Store, plan: Plan, tell: Callable[[str], None]) -> Kept:
+    this = asyncio.current_task()
+    assert this is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, this.cancel)
+    kept = await open_release(farm, store, plan)
+    controller = Controller(farm, store, kept, tell)
+    controller.pick_up()
+    await controller.run()
+    return kept
+
+
+def show_end(kept: Kept) -> None:
+    why = f": {kept.release.why}" if kept.release.why else ""
+    click.echo(f"release {kept.id}, {kept.plan.name}: {kept.release.state.value}{why}")
+    for member in kept.members.values():
+        if member.phase not in (Phase.SERVING, Phase.GONE):
+            click.echo(f"{member.id} is {member.phase.value}: {member.note}")
+
+
+def newest(farm_path: Path) -> tuple[Store, Kept]:
+    store = Store(Path(read_farm(farm_path).state), must_exist=True)
+    kept = store.newest()
+    if kept is None:
+        raise StoreError(f"{store.path}: no release has been started on this farm")
+    return store, kept
+
+
+class MemberLine(msgspec.Struct):
+    """A member in `status --json`."""
+
+    id: str
+    zone: str
+    wave: int
+    version: str
+    phase: str
+    note: str
+
+
+class Status(msgspec.Struct):
+    """`status --json`. `stake` of `wanted`: how far the judgement is from a halt."""
+
+    release: int
+    plan: str
+    state: str
+    why: str
+    waiting: str
+    wave: int
+    waves: int
+    baked_s: float
+    stake: float
+    wanted: float
+    served: float | None
+    controller: str
+    members: list[MemberLine]
+
+
+@release.command("status")
+@FARM
+@JSON
+def status_command(farm_path: Path, as_json: bool) -> None:
+    """Where the newest release of the farm stands."""
+    with refusing():
+        store, kept = newest(farm_path)
+        held, state = store.holder(), kept.release
+        store.close()
+    members = [
+        MemberLine(m.id, m.zone, m.wave + 1, m.version, m.phase.value, m.note)
+        for m in sorted(kept.members.values(), key=lambda m: (m.wave, m.id))
+    ]
+    last = max((line.wave for line in members), default=1)
+    status = Status(
+        kept.id, kept.plan.name, state.state.value, state.why, state.waiting, min(state.wave + 1, last), last,
+        round(state.baked, 1), round(state.stake, 3), state.wanted, state.served, held, members,
+    )  # fmt: skip
+    if as_json:
+        click.echo(msgspec.json.encode(status))
+    else:
+        show_status(status)
+
+
+def show_status(status: Status) -> None:
+    console = Console(highlight=False, width=110)
+    why = f": {status.why}" if status.why else ""
+    console.print(f"release {status.release}, {status.plan}: {status.state}{why}")
+    console.print(f"wave {status.wave} of {status.waves}, watched for {status.baked_s:g} s")
+    if status.waiting:
+        console.print(f"waiting: {status.waiting}")
+    served = "unknown" if status.served is None else f"{status.served:.2f}"
+    halt = f"{status.stake:.2g} of the {status.wanted:g} that halt it" if status.wanted else "none yet"
+    console.print(f"served of what is asked for: {served}; evidence against the version: {halt}")
+    console.print(f"controller: {status.controller or 'none runs'}")
+    table = Table("member", "zone", "wave", "runs", "is", "note")
+    for line in status.members:
+        table.add_row(line.id, line.zone, str(line.wave), line.version, line.phase, line.note)
+    console.print(table)
+
+
+@release.command("history")
+@FARM
+@JSON
+def history_command(farm_path: Path, as_json: bool) -> None:
+    """Every act of the newest release: when, at whom, and what came of it."""
+    with refusing():
+        store, kept = newest(farm_path)
+        lines = store.history(kept.id)
+        store.close()
+    if as_json:
+        click.echo(msgspec.json.encode(lines))
+        return
+    table = Table("at", "act", "member", "version", "took", "result")
+    for line in lines:
+        at = time.strftime("%Y-%m-%d %H:%M:%S", time.localtime(line.at))
+        took = "" if line.ended is None else f"{line.ended - line.at:.2f} s"
+        result = "under way, or lost" if line.ok is None else "yes" if line.ok else f"no: {line.said}"
+        table.add_row(at, line.act, line.member, line.version, took, result)
+    Console(highlight=False, width=110).print(table)
+
+
+def order(farm_path: Path, what: str) -> None:
+    """Leave an order, and say what came of it."""
+    with refusing():
+        store, kept = newest(farm_path)
+        try:
+            if kept.ended is not None:
+                raise Refusal(f"release {kept.id} is over: {kept.release.state.value}")
+            number, end = store.leave_order(kept.id, what), time.monotonic() + ORDER_TIME
+            if not store.holder():
+                click.echo(f"{what}: kept; no controller runs, 'flaxstep release run' carries it out")
+                return
+            while (said := store.order_answer(number)) is None and time.monotonic() < end:
+                time.sleep(0.1)
+        finally:
+            store.close()
+    if said is None:
+        raise Refusal(f"{what}: the controller has not answered within {ORDER_TIME:g} s")
+    if said:
+        raise Refusal(f"{what}: no, {said}")
+    click.echo(f"{what}: done")
+
+
+@release.command("pause")
+@FARM
+def pause_command(farm_path: Path) -> None:
+    """Send nothing further out; what is out comes back."""
+    order(farm_path, "pause")
+
+
+@release.command("resume")
+@FARM
+def resume_command(farm_path: Path) -> None:
+    """Go on after a pause, a halt, or when it gave up. After a halt the judgement begins anew."""
+    order(farm_path, "resume")
+
+
+@release.command("back")
+@FARM
+def back_command(farm_path: Path) -> None:
+    """Bring what is released back to the version before."""
+    order(farm_path, "back")
+
+
+@release.command("close")
+@FARM
+def close_command(farm_path: Path) -> None:
+    """End a release that halted or gave up, as it stands; another can begin then."""
+    with refusing():
+        store, kept = newest(farm_path)
+        try:
+            if kept.ended is None and kept.release.state not in (State.HALTED, State.GAVE_UP):
+                raise Refusal(f"release {kept.id} is {kept.release.state.value}: pause it, or call it back")
+            store.take_claim()
+            store.end(kept.id, kept.release, kept.members)
+            store.leave_claim()
+        finally:
+            store.close()
+    click.echo(f"release {kept.id}: closed")
--- a/flaxstep/rig/child.py
+++ b/flaxstep/rig/child.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import ctypes
 import json
 import os
 import signal
@@ -14,19 +13,10 @@
 from typing import Any
 
 from flaxstep.rig.standin import RigError
+from releases.rim.children import end_with
 
 ROOT = Path(__file__).resolve().parents[2]
-PR_SET_PDEATHSIG = 1
 READY_TIME, CALL_TIME = 20.0, 10.0  # s
-_libc = ctypes.CDLL(None, use_errno=True)
-
-
-def end_with(parent: int) -> None:
-    """In the child, before its program starts: SIGKILL when the rig's process is gone, also if it is
-    already."""
-    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
-    if os.getppid() != parent:
-        os._exit(1)
 
 
 class Child:
--- a/releases/course.py
+++ b/releases/course.py
@@ -65,7 +65,9 @@
     ) -> None:
         self.plan, self.release, self.members = plan, release, members
         watch, commands = plan.watch, plan.commands
-        times = Times(commands.time_limit_s, commands.ready_s, watch.empty_s, watch.warm_s)
+        times = Times(
+            commands.time_limit_s, commands.ready_s, watch.empty_s, watch.warm_s, again=0.9 * watch.look_s
+        )
         asks = Asks(commands.version is not None, commands.check is not None, dict(doors))
         self.trip: Trip = ServerTrip(times, asks) if plan.what == "servers" else NodeTrip(times, asks)
         self.evidence = Evidence(plan.what, watch.slower, plan.room.worths)
--- a/releases/plan.py
+++ b/releases/plan.py
@@ -61,6 +61,7 @@
     before_s: Limit = 20.0  # in which each member's usual answers are measured, before the first wave
     warm_s: Seconds = 25.0  # that a member needs from its return until it does its full share
     bake_s: Seconds = 30.0  # after each wave, once its servers are warm
+    look_s: Annotated[float, Meta(ge=0.1, le=60)] = 1.0  # from one look at the farm to the next
     empty_s: Limit = 30.0  # for what is in flight at one that was taken out
     wait_s: Limit = 600.0  # for a farm that is not fit to go on; then the release gives up, in a safe state
     false_halt: Annotated[float, Meta(gt=0, le=0.2)] = (
--- /dev/null
+++ b/releases/rim/controller.py
@@ -0,0 +1,140 @@
+"""Runs a release: looks, decides, writes the intent down, acts, writes down what it came to."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from releases.acts import Act, Phase, Result
+from releases.course import ENDED, Course, Release, State, line_up
+from releases.farm import Farm
+from releases.plan import Member, Plan, PlanError
+from releases.rim.hands import Hands
+from releases.rim.look import look, look_at_list
+from releases.rim.store import ClaimLost, Kept, Store, StoreError, clock
+
+Tell = Callable[[str], None]
+
+
+class Controller:
+    """`tell` gets one line for each thing that happens."""
+
+    def __init__(self, farm: Farm, store: Store, kept: Kept, tell: Tell) -> None:
+        self.farm, self.store, self.kept, self.tell = farm, store, kept, tell
+        doors = {node.name: node.doors for node in farm.nodes}
+        self.course = Course(kept.plan, kept.release, kept.members, doors)
+        self.hands = Hands(farm, kept.plan)
+        self.told: tuple[State, str, int] | None = None
+        self.told_phases = {member.id: member.phase for member in kept.members.values()}
+
+    def pick_up(self) -> None:
+        """What a controller that was killed has left: every act without a result."""
+        now, release = clock(), self.kept.release
+        release.looked, release.waiting = -1.0, ""
+        for member in self.kept.members.values():
+            member.open, member.asked = 0, -1e9
+            if member.phase not in (Phase.SERVING, Phase.GONE, Phase.WARMING, Phase.DOWN):
+                member.since = now  # its time runs anew: nobody looked meanwhile
+        unknown = Result(False, "its result was lost with the controller", known=False)
+        for number, act in self.kept.left.items():
+            self.tell(f"{act.do.value} {act.member}: {unknown.text}")
+            self.course.recover(act, now)
+            self.store.record(self.kept.id, release, self.kept.members, number, unknown)
+        self.kept.left.clear()
+
+    async def run(self) -> None:
+        """Until the release is over; ClaimLost if another controller has taken the farm over.
+
+        Ends as well where a release that is over can't call somebody back for as long as its plan waits.
+        """
+        ended_at: float | None = None
+        watch = self.kept.plan.watch
+        try:
+            async with asyncio.TaskGroup() as acts:
+                self.take_orders()
+                while not self.course.over:
+                    begun = time.monotonic()
+                    await self.look_once(acts)
+                    ended_at = (ended_at or begun) if self.kept.release.state in ENDED else None
+                    if ended_at is not None and begun - ended_at > watch.wait_s:
+                        break
+                    await asyncio.sleep(max(0.05, begun + watch.look_s - time.monotonic()))
+        except ExceptionGroup as group:
+            raise group.exceptions[0] from None
+        if self.kept.release.state in (State.DONE, State.WENT_BACK) and self.course.over:
+            self.store.end(self.kept.id, self.kept.release, self.kept.members)
+
+    def take_orders(self) -> None:
+        with self.store.transaction():
+            for number, what in self.store.orders(self.kept.id):
+                said = self.course.order(what)
+                self.store.answer_order(number, said)
+                self.tell(f"{what}, called by staff{': no, ' if said else ''}{said}")
+            self.store.save(self.kept.id, self.kept.release, self.kept.members)
+
+    async def look_once(self, tasks: asyncio.TaskGroup) -> None:
+        view = await look(self.farm, clock())
+        self.hands.view = view
+        if self.store.orders(self.kept.id):
+            self.take_orders()
+        acts = self.course.tick(clock(), view)
+        ids = self.store.intend(self.kept.id, self.kept.release, self.kept.members, acts)
+        self.report()
+        for number, act in zip(ids, acts, strict=True):
+            self.kept.members[act.member].open = number or -1  # reads have no line, and are out all the same
+            tasks.create_task(self.perform(number, act))
+
+    async def perform(self, number: int, act: Act) -> None:
+        if not self.store.holds():
+            raise ClaimLost(f"{self.store.path}: another controller has taken this farm over")
+        result = await self.hands.do(act)
+        self.kept.members[act.member].open = 0
+        self.course.ended(act, result, clock())
+        if number:
+            word = "yes" if result.ok else "no"
+            self.tell(f"{act.do.value} {act.member}: {word}{f', {result.text}' if result.text else ''}")
+        self.store.record(self.kept.id, self.kept.release, self.kept.members, number, result)
+
+    def report(self) -> None:
+        """Tell what is new of the release and its members."""
+        release = self.kept.release
+        for member in self.kept.members.values():
+            if self.told_phases.get(member.id) is not member.phase:
+                self.told_phases[member.id] = member.phase
+                note = f" ({member.note})" if member.note else ""
+                self.tell(f"{member.id}: {member.phase.value}, {member.version}{note}")
+        now = release.state, release.waiting or release.why, release.wave
+        if self.told != now:
+            self.told = now
+            why = f": {now[1]}" if now[1] else ""
+            self.tell(f"wave {release.wave + 1}, {release.state.value}{why}")
+
+
+async def members_of(farm: Farm, plan: Plan) -> list[Member]:
+    """Who a plan is about, as the farm stands; PlanError if that can't be known."""
+    if plan.what == "nodes":
+        short = [node.name for node in farm.nodes if len(node.doors) < 2]
+        if short:
+            raise PlanError([f"nodes: {name} has one door; a successor needs another" for name in short])
+        return [Member(node.name, node.zone, 1.0) for node in farm.nodes]
+    listed = await look_at_list(farm.discovery)
+    if listed is None:
+        raise PlanError([f"discovery: the list service at {farm.discovery} does not answer"])
+    lines = [line for line in listed.values() if line.lifecycle == "active"]
+    if not lines:
+        raise PlanError(["discovery: no job server is listed as active"])
+    return [Member(line.id, line.zone, line.size) for line in lines]
+
+
+async def open_release(farm: Farm, store: Store, plan: Plan) -> Kept:
+    """The open release of this plan, or a new one; StoreError if another plan's is open."""
+    found = store.newest()
+    if found is not None and found.ended is None:
+        if found.plan != plan:
+            raise StoreError(f"release {found.id}, {found.plan.name}, is not over; it must be ended first")
+        return found
+    members = line_up(plan, await members_of(farm, plan))
+    release = Release()
+    number = store.begin(plan, release, members)
+    return Kept(number, plan, release, members, {}, time.time(), None)
--- /dev/null
+++ b/releases/rim/hands.py
@@ -0,0 +1,103 @@
+"""Carries out acts: calls at doors, pings, and commands."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from contextlib import suppress
+
+from releases.acts import Act, Do, Result
+from releases.farm import Farm
+from releases.plan import Plan, command
+from releases.rim.children import end_with
+from releases.rim.http import text
+from releases.view import View
+
+OUTPUT = 64 << 10  # bytes of a command's output that are kept
+
+
+class Hands:
+    """`view` is the newest look: where servers listen, and which doors answer."""
+
+    def __init__(self, farm: Farm, plan: Plan) -> None:
+        self.farm, self.plan = farm, plan
+        self.view: View | None = None
+
+    async def do(self, act: Act) -> Result:
+        """What an act comes to. Nothing that goes wrong outside is an exception here."""
+        if act.do in (Do.CORDON, Do.UNCORDON):
+            return await self.everywhere(act.do.value, act.member)
+        if act.do is Do.PING:
+            return await self.ping(act.member)
+        commands = self.plan.commands
+        words = {
+            Do.RUN: commands.restart,
+            Do.STOP: commands.stop,
+            Do.ASK: commands.version,
+            Do.CHECK: commands.check,
+        }[act.do]
+        assert words is not None, "the plan has the commands that its steps ask for"
+        return await run(command(words, act.member, act.version, act.door), commands.time_limit_s)
+
+    async def everywhere(self, what: str, server: str) -> Result:
+        """A call for a job server at every node: yes if all say yes."""
+        said = await asyncio.gather(*(self.at_node(node.doors, what, server) for node in self.farm.nodes))
+        noes = [
+            f"{node.name}: {why}" for node, why in zip(self.farm.nodes, said, strict=True) if why is not None
+        ]
+        return Result(not noes, "; ".join(noes))
+
+    async def at_node(self, doors: tuple[str, ...], what: str, server: str) -> str | None:
+        """Why a node did not say yes; its processes share what one of them is told."""
+        why = ""
+        for door in doors:
+            status, answer = await text(door, "POST", f"/admin/{what}", server.encode())
+            # A node that does not know the server has nothing to call back.
+            if 200 <= status < 300 or (status == 404 and what == "uncordon"):
+                return None
+            why = f"{status} {answer}" if status else why or answer
+        return why
+
+    async def ping(self, server: str) -> Result:
+        line = (self.view.listed or {}).get(server) if self.view is not None else None
+        if line is None:
+            return Result(False, "not in the list")
+        status, answer = await text(line.address, "GET", "/ping")
+        return Result(status == 200, answer if status in (0, 200) else f"{status} to a ping")
+
+
+async def run(words: list[str], seconds: float) -> Result:
+    """A command without a shell; what it wrote, or the last line of its errors. It is killed at its limit."""
+    parent = os.getpid()
+    try:
+        process = await asyncio.create_subprocess_exec(
+            *words,
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+            start_new_session=True,
+            preexec_fn=lambda: end_with(parent),
+        )
+    except OSError as error:
+        return Result(False, f"{words[0]}: {error.strerror}")
+    try:
+        async with asyncio.timeout(seconds):
+            out, errors = await process.communicate()
+    except TimeoutError:
+        await kill(process)
+        return Result(False, f"{words[0]}: not done after {seconds:g} s", known=False)
+    except BaseException:  # the controller ends: so does what it runs
+        await kill(process)
+        raise
+    last = (errors[-OUTPUT:].decode(errors="replace").strip().splitlines() or [""])[-1]
+    if process.returncode:
+        return Result(False, f"{words[0]}: exit code {process.returncode} {last}".strip())
+    return Result(True, out[:OUTPUT].decode(errors="replace").strip())
+
+
+async def kill(process: asyncio.subprocess.Process) -> None:
+    """The command and what it started in its session, by the session's own id."""
+    with suppress(ProcessLookupError):
+        os.killpg(process.pid, signal.SIGKILL)
+    await asyncio.shield(process.wait())
--- /dev/null
+++ b/releases/rim/look.py
@@ -0,0 +1,98 @@
+"""A look at the farm: every door and the list, all at once."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import Counter
+from typing import Any
+
+from releases.farm import Farm, NodeLine
+from releases.rim.http import CallError, call, text
+from releases.view import Answers, Held, Listed, NodeView, Process, View
+
+MEMBERS = "/catalog/members"
+LIST_TIME = 2.0  # s
+RESULTS = "edge_router.results."
+OUTCOMES = ("succeeded", "declined", "aborted")
+
+
+async def look(farm: Farm, at: float) -> View:
+    nodes, listed = await asyncio.gather(
+        asyncio.gather(*(look_at_node(node) for node in farm.nodes)), look_at_list(farm.discovery)
+    )
+    return View(at, {node.name: node for node in nodes}, listed)
+
+
+async def look_at_node(node: NodeLine) -> NodeView:
+    found = await asyncio.gather(*(look_at_door(door) for door in node.doors))
+    processes = tuple(process for process in found if isinstance(process, Process))
+    silent = [why for why in found if isinstance(why, str)]
+    return NodeView(node.name, processes, "" if processes else silent[0])
+
+
+async def look_at_door(door: str) -> Process | str:
+    """The process behind a door, or why there is no answer."""
+    status, health = await text(door, "GET", "/admin/health")
+    if not status:
+        return health
+    try:
+        (said, servers), (told, stats) = await asyncio.gather(
+            call(door, "GET", "/admin/servers"), call(door, "GET", "/admin/stats")
+        )
+        if said not in (200, 404) or told != 200:
+            return f"the door answers {told if said == 200 else said} to a call for figures"
+        held = read_servers(servers) if said == 200 else {}
+        word = "ready" if status == 200 else health
+        return Process(door, word, held, read_results(stats), tells=said == 200)
+    except CallError as error:
+        return str(error)
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        return f"its figures can't be read: {type(error).__name__}: {error}"
+
+
+def read_servers(body: bytes) -> dict[str, Held]:
+    return {name: read_held(line) for name, line in json.loads(body).items()}
+
+
+def read_held(line: dict[str, Any]) -> Held:
+    classes = {
+        cls: Answers(told["ok"], told["failed"], told["unstarted"], Counter(dict(map(tuple, told["took"]))))
+        for cls, told in line["classes"].items()
+    }
+    # The version before did not tell who is out by hand.
+    return Held(line["out"], line.get("cordoned", False), line["started"], classes)
+
+
+def read_results(body: bytes) -> dict[str, tuple[int, int, int]]:
+    """Requests served, refused and failed by class; other lines are passed over."""
+    found: dict[str, dict[str, int]] = {}
+    for line in body.decode().splitlines():
+        name, _, value = line.partition(":")
+        if name.startswith(RESULTS):
+            cls, _, outcome = name.removeprefix(RESULTS).rpartition(".")
+            found.setdefault(cls, {})[outcome] = int(value.partition("|")[0])
+    return {cls: (told[OUTCOMES[0]], told[OUTCOMES[1]], told[OUTCOMES[2]]) for cls, told in found.items()}
+
+
+async def look_at_list(address: str) -> dict[str, Listed] | None:
+    """The whole list; None if it did not come."""
+    try:
+        status, body = await call(address, "GET", MEMBERS, seconds=LIST_TIME)
+        if status != 200:
+            return None
+        lines = [read_line(line) for line in json.loads(body)["instances"]]
+    except (CallError, ValueError, KeyError, TypeError):
+        return None
+    return {line.id: line for line in lines}
+
+
+def read_line(line: dict[str, Any]) -> Listed:
+    return Listed(
+        str(line["instanceId"]),
+        str(line["hostPort"]),
+        str(line["zone"]),
+        float(line.get("weight", 1.0)),
+        str(line["lifecycle"]),
+        int(line.get("startedAtMs", 0)),
+    )
--- a/releases/trips.py
+++ b/releases/trips.py
@@ -206,6 +206,8 @@
 
     def step(self, member: Standing, view: View, now: float) -> Act | None:
         phase, node = member.phase, view.nodes[member.id]
+        if phase is Phase.EMPTYING and node.processes and node.at(self.doors(member)[0]) is None:
+            member.door = self.asks.doors[member.id].index(node.processes[0].door)  # restarted by others
         before, after = self.doors(member)
         if phase is Phase.EMPTYING:
             if node.at(after) is not None:
--- a/releases/view.py
+++ b/releases/view.py
@@ -37,6 +37,7 @@
     health: str  # "ready", or what else it said
     servers: dict[str, Held]
     results: dict[str, tuple[int, int, int]]
+    tells: bool = True  # of job servers; a node of an older version can't
 
     @property
     def ready(self) -> bool:
@@ -80,9 +81,10 @@
     listed: dict[str, Listed] | None
 
     def out(self, server: str) -> int | None:
-        """Attempts out at a server from all nodes; None if a node did not answer."""
-        if any(not node.processes for node in self.nodes.values()):
-            return None
+        """Attempts out at a server from all nodes; None if a node did not tell."""
+        for node in self.nodes.values():
+            if not node.processes or not all(process.tells for process in node.processes):
+                return None
         return sum(held.out for held in self.held(server))
 
     def cordoned(self, server: str) -> bool:
