--- a/flaxstep/lab/rigging.py
+++ b/flaxstep/lab/rigging.py
@@ -13,7 +13,9 @@
 
 AGAIN = ("kill", "term", "restart")  # what can be started again afterwards: nodes and servers
 LINK_FAULTS = ("delay", "rate", "silent", "reset", "refuse", "hold")
-NAME = re.compile(r"(?:not )?(?:\*|nodes|servers|discovery|front|(node|server|zone):(\d+)|region:(\S+))")
+NAME = re.compile(
+    r"(?:not )?(?:\*|nodes|servers|discovery|front|controller|(node|server|zone):(\d+)|region:(\S+))"
+)
 ONE = re.compile(r"(?:node|server):\d+|discovery|front")
 
 
@@ -53,6 +55,18 @@
     keep: bool = True  # kill, term, restart: whether the folder stays
 
 
+class Figures(Table, frozen=True):
+    """How a version of the job servers' program differs, from `after_s` after its start on."""
+
+    after_s: Natural = 0.0
+    slow: Positive = 1.0  # times as long for the same work
+    slow_over: Natural = 0.0  # only while it holds more than that
+    errors: Part = 0.0  # of the requests that it fails at once
+    ready: bool = True  # whether it ever listens
+    wrong: bool = False  # whether its self-test fails
+    crash_s: Natural = 0.0  # after which it ends, and is started again; 0: never
+
+
 class Rigging(Table, frozen=True):
     """What the rig needs to know beyond what the lab does."""
 
@@ -65,6 +79,7 @@
     slow_bytes_s: Positive = 65536
     early_part: Part = 0.0  # of the tries, whose client leaves half way
     version: str = "v1"  # of the job servers' program, carried by each answer
+    versions: dict[str, Figures] = {}  # what is wrong with versions, by name
     faults: list[Fault] = []
 
 
--- a/flaxstep/rig/clients.py
+++ b/flaxstep/rig/clients.py
@@ -204,6 +204,10 @@
 
     # Calls of the rig.
 
+    def do_stop(self) -> None:
+        """No further first tries; what is out goes on."""
+        self.next = len(self.plan.tries.at)
+
     def do_left(self) -> int:
         """Tries not sent yet and not answered yet."""
         return len(self.plan.tries.at) - self.next + self.open
--- a/flaxstep/rig/farm_config.py
+++ b/flaxstep/rig/farm_config.py
@@ -15,7 +15,7 @@
 EFFECTS = {"safe": "free", "keyed": "guarded", "unsafe": "single_shot"}
 # Where the rig's processes listen, at the address that is this rig's alone.
 SERVERS, NODES, DOORS, LISTS, FRONTS, LINKS = 2000, 5000, 10000, 7500, 8500, 20000
-DOORS_EACH = 4  # ports for the doors of a node's processes, one after the other
+DOORS_EACH = 2  # places for the doors of a node's processes, in turn
 
 
 def settings(scenario: Scenario, plan: Plan, node: int) -> dict[str, Any]:
@@ -107,6 +107,14 @@
         nodes, servers = range(len(plan.node_zones)), range(len(plan.servers))
         self.to_nodes = [self.link("front", f"node:{n}", NODES + n) for n in nodes]
         self.to_lists = [self.link(f"node:{n}", "discovery", LISTS + n) for n in nodes]
+        self.servers = [(host, SERVERS + s) for s in servers]
+        # The way of a release's controller.
+        self.to_doors = [
+            [self.link("controller", f"node:{n}", DOORS + n * DOORS_EACH + k) for k in range(DOORS_EACH)]
+            for n in nodes
+        ]
+        self.to_list = self.link("controller", "discovery", LISTS + len(nodes))
+        self.to_pings = [self.link("controller", f"server:{s}", SERVERS + s) for s in servers]
         self.to_servers = [
             [self.link(f"node:{n}", f"server:{s}", SERVERS + s, noted=True) for s in servers] for n in nodes
         ]
@@ -186,8 +194,10 @@
     figures = plan.figures
     return {
         "host": ways.host,
-        "ports": [LISTS + node for node in range(len(plan.node_zones))],
-        "addresses": [[f"{host}:{port}" for host, port in addresses] for addresses in ways.to_servers],
+        "ports": [LISTS + node for node in range(len(plan.node_zones) + 1)],  # the last is a controller's
+        "addresses": [
+            [f"{host}:{port}" for host, port in addresses] for addresses in [*ways.to_servers, ways.to_pings]
+        ],
         "entries": {s: entry(scenario, plan, s, "active", 0) for s in range(len(plan.servers))},
         "version": 1,
         "capacity": figures["discovery.capacity"],
--- a/flaxstep/rig/jobserver.py
+++ b/flaxstep/rig/jobserver.py
@@ -67,11 +67,15 @@
         self.serial = 0
         self.door: asyncio.Server | None = None
         self.fallen = False
+        self.figures: dict[str, Any] | None = config["figures"]  # how its version differs
+        self.since = 0.0
         if config["cold"]:
             self.server.boot()
 
     async def start(self) -> None:
-        self.door = await self.loop.create_server(lambda: Connection(self), *self.address, backlog=1024)
+        self.since = self.loop.time()
+        if self.figures is None or self.figures["ready"]:
+            self.door = await self.loop.create_server(lambda: Connection(self), *self.address, backlog=1024)
         mates = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         mates.setblocking(False)
         mates.bind(self.address)
@@ -148,7 +152,19 @@
 
     # The model's clock, and calls of the rig.
 
+    def differ(self, figures: dict[str, Any]) -> None:
+        """What the version does otherwise than others, once its time has come."""
+        if self.loop.time() - self.since < figures["after_s"]:
+            return
+        slow = figures["slow"] if self.server.held > figures["slow_over"] else 1.0
+        if (slow, figures["errors"]) != (self.server.slow, self.server.errors):
+            self.server.advance()
+            self.server.slow, self.server.errors = slow, figures["errors"]
+            self.server.changed()
+
     def look(self) -> None:
+        if self.figures is not None:
+            self.differ(self.figures)
         self.server.connections = len(self.connections)
         self.server.look()
         self.loop.call_later(TICK / 1000, self.look)
@@ -226,6 +242,9 @@
         request_id = self.headers.get(b"request-id", b"").decode("latin-1")
         if self.target == b"/ping":
             self.write(b"200 OK", b"pong\n")
+        elif self.target == b"/selftest":
+            wrong = self.server.figures is not None and self.server.figures["wrong"]
+            self.write(b"200 OK", b"41\n" if wrong else b"42\n")
         elif not request_id:
             self.write(b"404 Not Found", b"")
         elif self.crowded:
--- a/flaxstep/rig/stage.py
+++ b/flaxstep/rig/stage.py
@@ -22,6 +22,8 @@
 from types import TracebackType
 from typing import Any
 
+import msgspec
+
 from flaxstep.lab.draw import Plan, draw_plan
 from flaxstep.lab.scenario import Scenario
 from flaxstep.rig.child import ROOT, Child, shell_command
@@ -56,6 +58,7 @@
         self.run = run or str(deploy()["run"])
         self.children: dict[str, Child] = {}
         self.doors: dict[str, Address] = {}  # of the newest process of each node
+        self.by_door: dict[Address, tuple[Child, str]] = {}  # the last process there, and its version
         self.starts: dict[str, int] = {}
         self.leaving: list[Child] = []  # processes that were told to end
         self.versions = {s: scenario.rig.version for s in range(len(self.plan.servers))}
@@ -124,7 +127,10 @@
 
     async def start_server(self, server: int, cold: bool) -> None:
         config = server_config(self.scenario, self.plan, self.host, server)
-        config |= {"cold": cold, "version": self.versions[server]}
+        version = self.versions[server]
+        figures = self.scenario.rig.versions.get(version)
+        config |= {"cold": cold, "version": version}
+        config |= {"figures": None if figures is None else msgspec.to_builtins(figures)}
         await self.stand_in(f"server:{server}", "jobserver", config)
 
     # Nodes.
@@ -142,6 +148,26 @@
             raise RigError(f"{name}: only nodes and servers are started again")
 
     async def start_node(self, name: str, keep: bool = True) -> Child:
+        child, door, log = await self.launch_node(name, keep)
+        await self.ready(child, door, log)
+        self.note("ready", name)
+        await self.children["links"].call("up", callee=name)
+        return child
+
+    def door(self, node: int, number: int) -> Address:
+        return self.host, DOORS + node * DOORS_EACH + number
+
+    def free_door(self, node: int) -> Address:
+        """The door that a node had last, or another if a process has it still."""
+        doors = [self.door(node, number) for number in range(DOORS_EACH)]
+        last = self.doors.get(f"node:{node}", doors[0])
+        doors.sort(key=lambda door: door != last)
+        return next((d for d in doors if d not in self.by_door or not self.by_door[d][0].alive), doors[-1])
+
+    async def launch_node(
+        self, name: str, keep: bool = True, door: Address | None = None, run: str = "", version: str = ""
+    ) -> tuple[Child, Address, Path]:
+        """A process of a node, not yet ready; with its door and its log."""
         node, count = int(name.partition(":")[2]), self.starts.get(name, 0)
         self.starts[name] = count + 1
         home = self.folder / f"node-{node}"
@@ -151,7 +177,7 @@
         path = self.folder / f"node-{node}.json"
         config = node_config(self.scenario, self.plan, self.ways, node, self.seeds.getrandbits(64))
         path.write_text(json.dumps(config))
-        door = (self.host, DOORS + node * DOORS_EACH + count % DOORS_EACH)
+        door = door or self.free_door(node)
         environment = {k: v for k, v in os.environ.items() if not k.startswith(("ROUTER_", "PYTHONPATH"))}
         environment |= {"ROUTER_CONFIG": str(path), "TMPDIR": str(home)}
         environment |= {"ROUTER_ADMIN_ADDR": f"{door[0]}:{door[1]}"}
@@ -159,13 +185,25 @@
             self.write_shim(name)
             environment |= {"PYTHONPATH": str(SHIM), "RIG_SHIM": str(self.shim(name))}
         log = self.folder / f"node-{node}-{count}.log"
-        child = await Child.start(name, shell_command(self.run), log, environment)
+        child = await Child.start(name, shell_command(run or self.run), log, environment)
+        if name in self.children:
+            self.leaving.append(self.children[name])
         self.children[name], self.doors[name] = child, door
+        self.by_door[door] = child, version or self.scenario.rig.version
         self.note("started", name, "" if keep else "empty folder")
-        await self.ready(child, door, log)
-        self.note("ready", name)
-        await self.children["links"].call("up", callee=name)
-        return child
+        return child, door, log
+
+    def leave_node(self, name: str, door: Address) -> None:
+        """The process of a node that has its door there is told to end; the node is the other one then."""
+        child, _ = self.by_door[door]
+        child.send(signal.SIGTERM)
+        self.note("term", name, f"the process with its door at port {door[1]}")
+        self.tasks.spawn(self.see_off(child))
+        if self.doors[name] == door:
+            for other, (process, _) in self.by_door.items():
+                if other != door and process.alive and process.name == name:
+                    self.leaving.append(child)
+                    self.children[name], self.doors[name] = process, other
 
     async def ready(self, child: Child, door: Address, log: Path) -> None:
         end = time.monotonic() + READY_TIME
@@ -178,12 +216,9 @@
         """A second process beside the first; at its yes the first is told to end, and ended when its time is
         up."""
         name = f"node:{node}"
-        old = self.children[name]
-        self.leaving.append(old)
+        old = self.doors[name]
         await self.start_node(name)
-        old.send(signal.SIGTERM)
-        self.note("term", name, "the old process")
-        self.tasks.spawn(self.see_off(old))
+        self.leave_node(name, old)
 
     async def see_off(self, child: Child) -> None:
         await asyncio.sleep(min(3.0, max(c.deadline_ms for c in self.scenario.classes) / 1000) + 0.7)
@@ -276,6 +311,15 @@
             await self.announce(server, "left", notice)
         self.tasks.spawn(self.start_later(name, down_s))
 
+    async def replace_process(self, server: int, version: str) -> None:
+        """A job server's process ends and another is there at once, cold, as a release's command has it."""
+        name = f"server:{server}"
+        self.versions[server] = version
+        await self.children["links"].call("down", callee=name)
+        self.note("killed", name)
+        await self.children[name].end()
+        await self.start(name)
+
     async def start_later(self, name: str, delay: float) -> None:
         await asyncio.sleep(delay)
         await self.start(name)
--- a/tests/rigs.py
+++ b/tests/rigs.py
@@ -66,7 +66,7 @@
 group = "cell"
 window_ms = 500
 """
-Acts = Callable[[Stage], Awaitable[None]]
+Acts = Callable[[Stage], Awaitable[bool | None]]  # True: the play may end with it
 
 
 @dataclass
@@ -91,9 +91,11 @@
     async with Stage(scenario, path, 1, folder / "play", run) as stage:
         await stage.open()
         await stage.begin()
-        if acts is not None:
-            await acts(stage)
-        while played(stage) < stage.plan.length or await stage.children["clients"].call("left"):
+        end = stage.plan.length
+        if acts is not None and await acts(stage):
+            await stage.children["clients"].call("stop")
+            end = 0.0
+        while played(stage) < end or await stage.children["clients"].call("left"):
             await asyncio.sleep(0.05)
         children = [child.process.pid for child in [*stage.children.values(), *stage.leaving]]
     for pid in children:
--- /dev/null
+++ b/tests/test_release_rig.py
@@ -0,0 +1,373 @@
+"""Releases of a farm of processes, by a controller that is a process of its own, with faults between them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import subprocess
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+import pytest
+
+from flaxstep.rig.child import Child
+from flaxstep.rig.staff import Staff, run_controller
+from flaxstep.rig.stage import Stage
+from releases.acts import Phase, Standing
+from releases.course import Release, State
+from releases.farm import read_farm
+from releases.rim.store import LEASE, Kept, Store
+from tests.rigs import NODE, ROOT, Played, rig
+
+VERSIONS = """
+[rules]
+ramp_ms = 1500
+[rig.versions.slow]
+slow = 4
+slow_over = 1
+[rig.versions.failing]
+errors = 0.15
+[rig.versions.late]
+after_s = 6
+errors = 0.3
+[rig.versions.loop]
+crash_s = 1.5
+[rig.versions.dead]
+ready = false
+[rig.versions.wrong]
+wrong = true
+"""
+PLAN = """
+name = "to {to}"
+what = "{what}"
+from = "v1"
+to = "{to}"
+[waves]
+shares = [0.4, 1]
+[room]
+capacity = 0.6
+worth = 0.5
+halt_worth = 0.2
+[watch]
+before_s = 2
+look_s = 0.25
+warm_s = 1.5
+bake_s = 2
+empty_s = 4
+wait_s = {wait}
+failures = 0.01
+[commands]
+time_limit_s = 2
+ready_s = 4
+"""
+Acts = Callable[["Live"], Awaitable[None]]
+SIDE_BY_SIDE = 4  # plays at once: few enough for their clients to be in time
+
+
+class Live:
+    """A farm under load with a release under way."""
+
+    def __init__(self, stage: Stage, what: str, to: str, wait: float) -> None:
+        self.stage, self.staff = stage, Staff(stage)
+        self.wait, self.controllers = wait, 0
+        words = json.dumps(self.staff.command)[1:-1]
+        commands = {
+            "servers": {
+                "restart": "restart {id} {version}",
+                "version": "version {id}",
+                "check": "check {id}",
+            },
+            "nodes": {
+                "restart": "start {id} {version} {door}",
+                "stop": "stop {id} {door}",
+                "version": "running {id} {door}",
+            },
+        }[what]
+        text = PLAN.format(to=to, what=what, wait=wait)
+        for name, call in commands.items():
+            text += f"{name} = [{words}, {json.dumps(call.split())[1:-1]}]\n"
+        self.plan = stage.folder / "plan.toml"
+        self.plan.write_text(text)
+        self.farm = self.staff.farm_file()
+
+    async def control(self) -> Child:
+        """Start a controller."""
+        self.controllers += 1
+        log = self.stage.folder / f"controller-{self.controllers}.log"
+        self.controller = await run_controller(self.stage, self.plan, self.farm, log)
+        return self.controller
+
+    async def kill_and_go_on(self) -> None:
+        await self.controller.end()
+        store = Store(Path(read_farm(self.farm).state))
+        store.db.execute("UPDATE claim SET renewed = 0")  # as if its lease had run out
+        store.close()
+        await self.control()
+
+    def kept(self) -> Kept | None:
+        """The release as the state file has it."""
+        store = Store(Path(read_farm(self.farm).state))
+        kept = store.newest()
+        store.close()
+        return kept
+
+    async def stands(self, condition: Callable[[Kept], bool]) -> None:
+        """Until the release stands so."""
+
+        def stands() -> bool:
+            kept = self.kept()
+            return kept is not None and condition(kept)
+
+        await self.until(stands)
+
+    async def until(self, condition: Callable[[], bool], seconds: float = 40.0) -> None:
+        async with asyncio.timeout(seconds):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+    async def called(self, do: str, count: int = 1) -> None:
+        """Until commands have made so many calls of a kind."""
+        await self.until(lambda: sum(call[0] == do for call in self.staff.done) >= count)
+
+    async def fault(self, name: str, *between: str) -> dict[str, object]:
+        spec: dict[str, object] = {
+            "name": name, "between": list(between), "way": "both", "size": 1.0, "jitter": 0.0,
+        }  # fmt: skip
+        await self.stage.fault(1, spec)
+        return spec
+
+
+@dataclass
+class Done:
+    """What a release came to."""
+
+    code: int
+    release: Release
+    members: dict[str, Standing]
+    versions: list[str]  # of the job servers
+    calls: list[list[str]]
+    play: Played
+
+    @property
+    def out(self) -> list[str]:
+        return [m.id for m in self.members.values() if m.phase is not Phase.SERVING]
+
+
+async def carry(folder: Path, case: Case) -> Done:
+    """Play a release to its end under load; all is judged."""
+    found: list[Done] = []
+
+    async def act(stage: Stage) -> bool:
+        live = Live(stage, case.what, case.to, case.wait)
+        await live.staff.open()
+        try:
+            await live.control()
+            if case.acts is not None:
+                await case.acts(live)
+            async with asyncio.timeout(90):
+                code = await live.controller.process.wait()
+        finally:
+            live.staff.close()
+        live.staff.note_calls()
+        kept = live.kept()
+        assert kept is not None
+        versions = [stage.versions[server] for server in sorted(stage.versions)]
+        found.append(Done(code, kept.release, kept.members, versions, live.staff.done, None))  # type: ignore[arg-type]
+        return True
+
+    play = await rig(folder, act, seconds=120, nodes=3, load=case.load, extra=VERSIONS + case.extra)
+    [done] = found
+    done.play = play
+    return done
+
+
+# What happens in the midst of a release.
+
+
+async def kill_after_cordon(live: Live) -> None:
+    phases = (Phase.EMPTYING, Phase.RESTARTING, Phase.PROVING)
+    await live.stands(lambda kept: any(m.phase in phases for m in kept.members.values()))
+    await live.kill_and_go_on()
+
+
+async def kill_in_command(live: Live) -> None:
+    await live.called("restart")
+    await live.kill_and_go_on()
+
+
+async def unreachable_node(live: Live) -> None:
+    await live.stands(lambda kept: kept.release.measured > 1.0)
+    spec = await live.fault("refuse", "controller", "node:1")
+    await live.stands(lambda kept: "n1 does not answer" in kept.release.waiting)
+    await live.stage.heal(1, spec)
+
+
+async def cut_zone(live: Live) -> None:
+    await live.called("restart")
+    spec = await live.fault("silent", "controller", "zone:1")
+    await live.stands(lambda kept: "does not answer" in kept.release.waiting)
+    await live.stage.heal(1, spec)
+
+
+async def cut_zone_for_good(live: Live) -> None:
+    await live.called("restart")
+    spec = await live.fault("silent", "controller", "zone:1")
+    await live.stands(lambda kept: kept.release.state is State.GAVE_UP)
+    await live.stage.heal(1, spec)
+
+
+async def hang(live: Live) -> None:
+    live.staff.hang = {("restart", f"s-{n:04d}", "hung") for n in range(6)}
+
+
+async def hang_on_the_way_back(live: Live) -> None:
+    live.staff.hang = {("restart", f"s-{n:04d}", "v1") for n in range(6)}
+
+
+async def server_leaves(live: Live) -> None:
+    await live.called("restart")
+    await live.stage.announce(5, "left", 0.0)
+
+
+async def second_controller(live: Live) -> None:
+    first = live.controller
+    await live.called("restart")
+    second = await live.control()
+    assert await second.process.wait() == 2
+    assert "acts on this farm" in (live.stage.folder / "controller-2.log").read_text()
+    live.controller = first
+
+
+async def stopped_and_replaced(live: Live) -> None:
+    """The first controller freezes for longer than its lease; the second takes over."""
+    first = live.controller
+    await live.called("restart")
+    first.send(signal.SIGSTOP)
+    await asyncio.sleep(LEASE + 0.5)
+    second = await live.control()
+    await live.until(lambda: "wave" in (live.stage.folder / "controller-2.log").read_text())
+    first.send(signal.SIGCONT)
+    assert await first.process.wait() == 2
+    assert "has taken this farm over" in (live.stage.folder / "controller-1.log").read_text()
+    live.controller = second
+
+
+def previous_node(folder: Path) -> str:
+    """How to start the node as it was before its last change."""
+    words = ["git", "log", "-2", "--format=%H", "--", "badgercart", "cottonhall"]
+    before = subprocess.run(words, cwd=ROOT, capture_output=True, check=True, text=True).stdout.split()[-1]
+    folder.mkdir()
+    tar = subprocess.run(
+        ["git", "archive", before, "badgercart", "cottonhall"], cwd=ROOT, capture_output=True, check=True
+    )
+    subprocess.run(["tar", "-x", "-C", str(folder)], input=tar.stdout, check=True)
+    return f"cd {folder} && {NODE}"
+
+
+def other_node(to_before: bool) -> Acts:
+    async def acts(live: Live) -> None:
+        before = previous_node(live.stage.folder / "before")
+        live.staff.runs = {"v2": before if to_before else NODE, "v1": NODE if to_before else before}
+        await live.stage.cordon(4)
+        await live.called("stop", 3)
+        await live.stage.uncordon(4)
+
+    return acts
+
+
+async def dead_node(live: Live) -> None:
+    live.staff.runs = {"v2": "exec sleep 60"}
+
+
+@dataclass(frozen=True)
+class Case:
+    """A release and what it must come to. `why` stands in the release's reason."""
+
+    to: str
+    state: State
+    acts: Acts | None = None
+    why: str = ""
+    what: str = "servers"
+    wait: float = 30.0
+    extra: str = ""
+    load: float = 0.4
+    long: bool = False  # not in every run of the tests
+
+
+BURST = """
+[[troubles]]
+name = "burst"
+at_s = [4, 4]
+len_s = [8, 8]
+size = [2.4, 2.4]
+"""
+BACK = State.WENT_BACK
+CASES = {
+    "good": Case("v2", State.DONE),
+    "slow only under load": Case("slow", BACK, why="worse than the rest", load=0.7, long=True),
+    "one in seven fails": Case("failing", BACK, why="worse than the rest"),
+    "bad after the bake time": Case("late", BACK, why="worse than the rest", long=True),
+    "crash loop": Case("loop", BACK, long=True),
+    "never ready": Case("dead", BACK, why="not ready", long=True),
+    "wrong answers": Case("wrong", BACK, why="41 is not 42", long=True),
+    "the command hangs": Case("hung", BACK, hang, "not done after", long=True),
+    "going back hangs": Case("wrong", State.GAVE_UP, hang_on_the_way_back, wait=8, long=True),
+    "killed after the cordon": Case("v2", State.DONE, kill_after_cordon, long=True),
+    "killed in the command": Case("v2", State.DONE, kill_in_command),
+    "node unreachable": Case("v2", State.DONE, unreachable_node),
+    "zone cut off": Case("v2", State.DONE, cut_zone, long=True),
+    "zone cut off for good": Case(
+        "v2", State.GAVE_UP, cut_zone_for_good, "does not answer", wait=4, long=True
+    ),
+    "burst": Case("v2", State.DONE, extra=BURST, wait=60, long=True),
+    "server leaves": Case("v2", State.DONE, server_leaves, long=True),
+    "second controller": Case("v2", State.DONE, second_controller, long=True),
+    "frozen and replaced": Case("v2", State.DONE, stopped_and_replaced, long=True),
+    "nodes": Case("v2", State.DONE, what="nodes"),
+    "a node that never says yes": Case("v2", BACK, dead_node, "not ready", "nodes", long=True),
+    "the node before": Case("v2", State.DONE, other_node(True), what="nodes"),
+    "the node after": Case("v2", State.DONE, other_node(False), what="nodes", long=True),
+}
+
+
+@pytest.fixture(scope="module")
+def played(
+    tmp_path_factory: pytest.TempPathFactory, request: pytest.FixtureRequest
+) -> dict[str, Done | BaseException]:
+    """The cases that were asked for, a few at a time."""
+    folder = tmp_path_factory.mktemp("releases")
+    asked = [item.callspec.params.get("name") for item in request.session.items if hasattr(item, "callspec")]
+    cases = {name: case for name, case in CASES.items() if name in asked}
+
+    async def all_cases() -> list[Done | BaseException]:
+        room = asyncio.Semaphore(SIDE_BY_SIDE)
+
+        async def one(name: str, case: Case) -> Done:
+            async with room:
+                return await carry(folder / name.replace(" ", "-"), case)
+
+        return await asyncio.gather(*(one(*item) for item in cases.items()), return_exceptions=True)
+
+    return dict(zip(cases, asyncio.run(all_cases()), strict=True))
+
+
+@pytest.mark.parametrize(
+    "name", [pytest.param(name, marks=pytest.mark.long if case.long else ()) for name, case in CASES.items()]
+)
+def test_a_release_under_load_ends_as_it_must(played: dict[str, Done | BaseException], name: str) -> None:
+    done, case = played[name], CASES[name]
+    if isinstance(done, BaseException):
+        raise done
+    assert done.release.state is case.state and case.why in done.release.why, done.release
+    assert done.code == (0 if case.state is State.DONE else 1)
+    assert not done.play.result.breaches
+    if case.state is not State.GAVE_UP:
+        assert not [member for member in done.out if member != "s-0005"], done.members
+    if case.what == "servers" and case.state is not State.GAVE_UP:
+        served = case.to if case.state is State.DONE else "v1"
+        assert set(done.versions[:5]) == {served}
+        for number in range(5):  # what a command has done it is not asked for again
+            calls = [call[2] for call in done.calls if call[:2] == ["restart", f"s-{number:04d}"]]
+            assert len(calls) == len(set(calls)), calls
