--- a/flaxstep/lab/host.py
+++ b/flaxstep/lab/host.py
@@ -91,6 +91,8 @@
     servers: list[Server]
     by_id: dict[int, Server]
     logs: list[tuple[float, int, str]]
+    on_attempt: Callable[[Process, Attempt, Result, float], None] | None  # a release counts what nodes see
+    on_answer: Callable[[Process, int, int], None] | None
     client_ms: float
     dial_ms: float
     idle_ms: float
@@ -253,13 +255,20 @@
         harmless = wanted.effect == "safe" or (wanted.effect == "keyed" and wanted.group == "all")
         if request.maybe_ran and not harmless:
             self.world.breach("duplicate", self.node, request, -1, "refused though it may have run")
+        self.count(request, 1)
         self.world.engine.after(self.world.client_ms, self.world.clients.refused, request, action.wait, self)
 
     def fail(self, action: Any) -> None:
         request = self.held.pop(action.id, None)
         if request is not None:
+            self.count(request, 2)
             self.world.engine.after(self.world.client_ms, self.world.clients.failed, request)
 
+    def count(self, request: Try, which: int) -> None:
+        """A request was served (0), refused (1) or failed (2)."""
+        if self.world.on_answer is not None:
+            self.world.on_answer(self, request.cls, which)
+
     def cancel(self, action: Any) -> None:
         attempt = self.attempts.get((action.id, action.attempt))
         if attempt is not None and not attempt.over:
@@ -321,8 +330,11 @@
             if result is Result.OK:
                 del self.held[attempt.request]
                 world.tally.useful += attempt.work
+                self.count(request, 0)
                 world.engine.after(world.client_ms, world.clients.served, request)
         elapsed = world.engine.now - attempt.sent
+        if world.on_attempt is not None:
+            world.on_attempt(self, attempt, result, elapsed)
         over = attempt.request not in self.held
         self.tell(Outcome(attempt.request, server.id, over, result, attempt.number, elapsed))
 
--- a/flaxstep/lab/world.py
+++ b/flaxstep/lab/world.py
@@ -129,6 +129,8 @@
 
     def first(self) -> None:
         i, tries, world = self.next, self.world.plan.tries, self.world
+        if i == len(tries.at):  # stopped meanwhile
+            return
         self.next += 1
         self.schedule()
         cls, tenant, now = tries.cls[i], tries.tenant[i], world.engine.now
@@ -143,6 +145,10 @@
         world.judge.bill.asked_work += tries.work[i]
         self.begin(i, 0, now)
 
+    def stop(self) -> None:
+        """No further first tries."""
+        self.next = len(self.world.plan.tries.at)
+
     def worth(self, i: int) -> float:
         scenario = self.world.scenario
         part = 1.0 if self.inside[i] else scenario.load.over_share_worth
@@ -328,6 +334,8 @@
         self.cut: set[int] = set()  # zones cut off from the others
         self.mean_work = sum(plan.tries.work) / max(1, len(plan.tries.work))
         self.logs: list[tuple[float, int, str]] = []
+        self.on_attempt: Callable[[Process, Attempt, Result, float], None] | None = None
+        self.on_answer: Callable[[Process, int, int], None] | None = None
         self.samples: list[Sample] = []
         self.happened: list[tuple[str, float, float]] = []
         rules = scenario.rules
