--- a/releases/course.py
+++ b/releases/course.py
@@ -13,13 +13,16 @@
 
 from releases.acts import OUTWARD, Act, Asks, Phase, Result, Standing, Times
 from releases.evidence import Evidence, Mark
-from releases.judge import Finding, Judge
+from releases.judge import Finding, Judge, Opinion
 from releases.limits import broken, meet, no_room, silent, unfit
 from releases.plan import Member, Plan, waves
 from releases.trips import NodeTrip, ServerTrip, Trip
 from releases.view import View
 
 LEAST_BEFORE = 50  # answers to measure before the release begins
+UNSURE = 2.0  # a stake over this: a wave is watched for up to so many times its time
+MOST_BAKE = 3.0
+LOW_TIME = 30.0  # s: bursts end sooner, and are no version's fault
 MOST_TRIES = 4  # trips of one member that came to nothing, for reasons of the farm's
 
 
@@ -52,6 +55,8 @@
     stake: float = 1.0
     wanted: float = 0.0
     served: float | None = None
+    low_since: float = -1.0  # since when less than the plan's `halt_worth` is served
+    doubted: float = -1.0  # when the canary was found bad once
     marks: dict[str, dict[str, Mark]] = {}
     pooled: dict[str, Mark] = {}
     bets: dict[str, object] = {}
@@ -113,18 +118,42 @@
             return
         released = {m.id for m in self.members.values() if m.version == self.plan.to}
         cold = {m.id for m in self.members.values() if m.phase is not Phase.SERVING}
-        opinion = self.judge.look(list(self.evidence.seen(found, released, cold)))
-        release.stake, release.wanted, release.bets = opinion.stake, opinion.wanted, self.judge.memory()
-        if release.state is not State.ROLLING:
-            return
+        seen = list(self.evidence.seen(found, released, cold))
+        doubted_for = now - release.doubted if release.doubted >= 0 else -1.0
+        if 0 <= doubted_for < self.plan.watch.doubt_s:
+            seen = [line for line in seen if not line.released]  # what met the machine shall pass first
+        opinion = self.judge.look(seen)
+        release.stake, release.wanted = opinion.stake, opinion.wanted
+        if release.state is State.ROLLING:
+            self.heed(opinion, doubted_for, passed, now)
+        release.bets = self.judge.memory()
+
+    def heed(self, opinion: Opinion, doubted_for: float, passed: float, now: float) -> None:
+        """What the judgement means for the wave. One machine alone must be found bad twice."""
+        release, watch = self.release, self.plan.watch
         if opinion.finding is Finding.BAD:
-            self.fall(f"worse than the rest: {opinion.why}", now)
+            if self.judge.sole and doubted_for < 0:
+                release.doubted, release.baked = now, 0.0
+                self.judge.look_again()
+            else:
+                self.fall(f"worse than the rest: {opinion.why}", now)
+        elif doubted_for >= 0:
+            if doubted_for > watch.doubt_s + watch.bake_s:
+                release.doubted = -1.0
+                self.judge.acquit()
+                release.baked = watch.bake_s if self.wave_is_out() else 0.0
         elif self.wave_is_out() and (opinion.finding is Finding.GOOD or not self.rest()):
             release.baked += passed
 
     def hard_limits(self, now: float) -> None:
         """What needs no comparison."""
-        why = broken(self.members.values(), self.plan, self.release.served)
+        served, release = self.release.served, self.release
+        if served is None or served >= self.plan.room.halt_worth:
+            release.low_since = -1.0
+        elif release.low_since < 0:
+            release.low_since = now
+        low = release.low_since >= 0 and now - release.low_since > LOW_TIME
+        why = broken(self.members.values(), self.plan, served if low else None)
         if why:
             self.fall(why, now)
 
@@ -156,8 +185,11 @@
     def roll(self, view: View, passed: float, now: float) -> None:
         """Send the next members out, or watch the wave, or end."""
         release = self.release
+        if release.doubted >= 0:
+            self.wait("one machine was found worse than the rest, and is judged once more", now)
+            return
         if self.wave_is_out():
-            if release.baked < self.plan.watch.bake_s and self.wave_members():
+            if release.baked < self.bake_time() and self.wave_members():
                 reason = "" if self.judge.fit or not self.rest() else "too few answers to compare with"
                 self.wait(reason, now)
                 return
@@ -167,6 +199,11 @@
                 return
         self.wait(unfit(view, self.plan, release.served) or self.next_out(view, self.plan.to, now), now)
 
+    def bake_time(self) -> float:
+        """s; more while something speaks against the version, though not enough."""
+        unsure = self.release.stake > UNSURE and self.rest()
+        return self.plan.watch.bake_s * (MOST_BAKE if unsure else 1.0)
+
     def next_out(self, view: View, version: str, now: float) -> str:
         """Begin the trips of as many as there is room for; or why not even one, if none is under way."""
         reason = ""
@@ -255,6 +292,7 @@
         elif order == "resume" and state in (State.PAUSED, State.HALTED, State.GAVE_UP):
             if state is not State.PAUSED:  # staff have seen what spoke against it
                 self.judge = Judge(self.plan.watch.false_halt, self.plan.watch.failures)
+                self.release.doubted = -1.0
                 for member in self.members.values():
                     member.fault, member.crashes, member.tries = "", 0, 0
             measured = bool(self.release.pooled)
--- a/releases/plan.py
+++ b/releases/plan.py
@@ -51,16 +51,19 @@
     out_at_once: Count = 1
     capacity: Part = 0.8  # of what the fleet can do, by size, that must not be out or cold at any time
     worth: Share = 0.9  # of what is asked for that must be served; below it nothing new goes out
-    halt_worth: Share = 0.5  # below it the release has failed
+    halt_worth: Share = 0.5  # below it for half a minute the release has failed
     worths: dict[str, Annotated[float, Meta(ge=0)]] = {}  # of a request, by class; 1 for those not named
 
 
 class Watch(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """How long, and how it is judged."""
 
-    before_s: Limit = 20.0  # in which each member's usual answers are measured, before the first wave
+    before_s: Limit = (
+        120.0  # in which members' usual answers are measured; in 20 s by a twelfth too high or low
+    )
     warm_s: Seconds = 25.0  # that a member needs from its return until it does its full share
-    bake_s: Seconds = 30.0  # after each wave, once its servers are warm
+    bake_s: Seconds = 60.0  # after each wave, once its servers are warm
+    doubt_s: Seconds = 40.0  # after which a canary found bad is judged once more: machines have bad spells
     look_s: Annotated[float, Meta(ge=0.1, le=60)] = 1.0  # from one look at the farm to the next
     empty_s: Limit = 30.0  # for what is in flight at one that was taken out
     wait_s: Limit = 600.0  # for a farm that is not fit to go on; then the release gives up, in a safe state
--- a/tests/farms.py
+++ b/tests/farms.py
@@ -36,6 +36,7 @@
 before_s = 3
 warm_s = 2
 bake_s = 4
+doubt_s = 3
 empty_s = 5
 wait_s = 30
 {watch}
--- a/tests/test_release_rig.py
+++ b/tests/test_release_rig.py
@@ -55,6 +55,7 @@
 look_s = 0.25
 warm_s = 1.5
 bake_s = 2
+doubt_s = 1
 empty_s = 4
 wait_s = {wait}
 failures = 0.01
