--- a/releases/checked.py
+++ b/releases/checked.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any, TypeVar, get_args, get_origin, get_type_hints
+from typing import Annotated, Any, TypeVar, get_args, get_origin, get_type_hints
 
 import msgspec
 
@@ -33,15 +33,17 @@
 
 
 def convert_value(value: Any, hint: Any, key: str) -> tuple[Any, list[str]]:
-    inner = struct_of(hint)
+    plain = get_args(hint)[0] if get_origin(hint) is Annotated else hint
+    inner = struct_of(plain)
     if inner is None:
         return convert_one(value, hint, key)
-    if get_origin(hint) is not tuple:
+    if get_origin(plain) is not tuple:
         return convert_all(value, inner, f"{key}.")
     if not isinstance(value, list):
         return None, [f"{key}: an array of tables is wanted, not {type(value).__name__}"]
     lines = [convert_all(line, inner, f"{key}[{i}].") for i, line in enumerate(value)]
-    return tuple(line for line, _ in lines), [fault for _, faults in lines for fault in faults]
+    faults = [fault for _, more in lines for fault in more]
+    return (None, faults) if faults else convert_one(value, hint, key)  # how many there may be
 
 
 def convert_one(value: Any, kind: Any, key: str) -> tuple[Any, list[str]]:
--- /dev/null
+++ b/tests/test_release_cli.py
@@ -0,0 +1,110 @@
+"""The command line of releases: what it refuses, in what words, and what it tells."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner, Result
+
+from flaxstep.cli import main
+from releases.acts import Act, Do, Standing
+from releases.acts import Result as Came
+from releases.course import Release, State
+from releases.rim.store import Store
+from tests.farms import plan
+
+FARM = """
+name = "farm"
+discovery = "127.0.0.1:1"
+state = "kept/state"
+[[nodes]]
+name = "n0"
+doors = ["127.0.0.1:1"]
+"""
+PLAN = """
+name = "v2"
+what = "servers"
+from = "v1"
+to = "v2"
+commands = { restart = ["true", "{id}"] }
+"""
+
+
+def call(folder: Path, *words: str) -> Result:
+    return CliRunner().invoke(main, ["release", *words, "--farm", str(folder / "farm.toml")])
+
+
+@pytest.fixture
+def folder(tmp_path: Path) -> Path:
+    (tmp_path / "farm.toml").write_text(FARM)
+    (tmp_path / "plan.toml").write_text(PLAN)
+    return tmp_path
+
+
+@pytest.mark.parametrize(
+    ("farm", "words"),
+    [
+        ("name = 3", ["name: ", "discovery: is missing", "state: is missing", "nodes: is missing"]),
+        (FARM + '[[nodes]]\nname = "n0"\ndoors = ["here"]\n', ["nodes[1].doors[0]: "]),
+        (FARM + '[[nodes]]\nname = "n0"\ndoors = ["127.0.0.1:1"]\n', ["node n0 stands", "door 127.0.0.1:1"]),
+        (FARM.replace("[[nodes]]", "[nodes]"), ["nodes: an array of tables is wanted"]),
+        ("name = ", ["not TOML"]),
+        (None, ["farm.toml: No such file or directory"]),
+    ],
+)
+def test_a_wrong_farm_file_is_told_fault_by_fault(folder: Path, farm: str | None, words: list[str]) -> None:
+    (folder / "farm.toml").unlink()
+    if farm is not None:
+        (folder / "farm.toml").write_text(farm)
+    for command in (["status"], ["run", str(folder / "plan.toml")], ["check", str(folder / "plan.toml")]):
+        done = call(folder, *command)
+        assert done.exit_code == 2 and all(word in done.output for word in words), done.output
+        assert len(done.output.splitlines()) == len(words)
+
+
+def test_what_needs_a_farm_that_is_not_there_says_so(folder: Path) -> None:
+    for command, word in (
+        (["status"], "no release has been started"),
+        (["pause"], "no release has been started"),
+        (["check", str(folder / "plan.toml")], "the list service at 127.0.0.1:1 does not answer"),
+        (["run", str(folder / "plan.toml")], "the list service at 127.0.0.1:1 does not answer"),
+    ):
+        done = call(folder, *command)
+        assert done.exit_code == 2 and word in done.output and len(done.output.splitlines()) == 1
+
+
+def test_status_history_and_orders_of_a_release_without_a_controller(folder: Path) -> None:
+    store = Store(folder / "kept" / "state")
+    store.take_claim()
+    members = {"s-1": Standing("s-1", "a", 1.0, "v1"), "s-2": Standing("s-2", "b", 1.0, "v1", wave=1)}
+    number = store.begin(plan(), Release(state=State.ROLLING, waiting="node n0 does not answer"), members)
+    [act] = store.intend(number, Release(state=State.ROLLING), members, [Act(Do.CORDON, "s-1")])
+    store.record(number, Release(state=State.ROLLING), members, act, Came(False, "n0: no answer"))
+    assert f"process {store.holder().split()[-1]}" in call(folder, "status").output
+    store.leave_claim()
+
+    status = json.loads(call(folder, "status", "--json").output)
+    assert (status["state"], status["wave"], status["waves"], status["controller"]) == ("under way", 1, 2, "")
+    assert [member["id"] for member in status["members"]] == ["s-1", "s-2"]
+    [line] = json.loads(call(folder, "history", "--json").output)
+    assert (line["act"], line["member"], line["ok"], line["said"]) == (
+        "cordon",
+        "s-1",
+        False,
+        "n0: no answer",
+    )
+    assert "no: n0: no answer" in call(folder, "history").output
+    assert call(folder, "close").exit_code == 2  # it is under way
+    said = call(folder, "pause")
+    assert said.exit_code == 0 and "no controller runs" in said.output
+    assert [what for _, what in store.orders(number)] == ["pause"]
+
+    store.take_claim()
+    with store.transaction():
+        store.save(number, Release(state=State.HALTED), members)
+    store.leave_claim()
+    assert call(folder, "close").exit_code == 0
+    assert "is over: halted" in call(folder, "back").output
+    store.close()
