--- /dev/null
+++ b/benchmarks/release_rig.py
@@ -0,0 +1,161 @@
+"""Releases of a good version on the rig, under load: what they cost, and whether a rule breaks.
+
+From the root: .venv-lab/bin/python -B -m benchmarks.release_rig [COUNT [AT_ONCE]]. Each seed is played with a
+release and without one; the worth served in the release's seconds is set beside the same seconds without.
+Needs an idle machine.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import statistics
+import sys
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from flaxstep.lab.scenario import read_scenario
+from flaxstep.rig.result import Result, judge_play
+from flaxstep.rig.staff import Staff, run_controller
+from flaxstep.rig.stage import Stage, build
+
+LENGTH = 60  # s at most
+END_TIME = 90.0  # s for a controller to end
+FARM = f"""
+name = "release"
+length_s = {LENGTH}
+fleet = {{ nodes = 3, servers = 6, zones = 3, cell_size = 2, server_skew = 0 }}
+load = {{ of_capacity = [0.4, 0.55], swing = 0.2 }}
+choke = {{ share = 0 }}
+discovery = {{ add_s = 0.05, notice_s = 0.1 }}
+rules = {{ ramp_ms = 2000 }}
+clients = {{ retries = 2, backoff_ms = 20 }}
+[[kinds]]
+name = "plain"
+share = 1
+speed = 1.5
+cold_from = 0.3
+cold_s = 2
+[[classes]]
+name = "build"
+share = 0.7
+work_ms = 20
+aim_ms = 250
+deadline_ms = 1200
+worth = 5
+effect = "unsafe"
+[[classes]]
+name = "record"
+share = 0.3
+work_ms = 25
+aim_ms = 200
+deadline_ms = 800
+worth = 15
+effect = "keyed"
+group = "cell"
+window_ms = 500
+"""
+PLAN = """
+name = "v2"
+what = "servers"
+from = "v1"
+to = "v2"
+[waves]
+shares = [0.5, 1]
+[room]
+capacity = 0.8
+worth = 0.5
+halt_worth = 0.2
+[watch]
+before_s = 6
+look_s = 0.25
+warm_s = 2.5
+bake_s = 3
+doubt_s = 4
+slower = 1.3
+failures = 0.02
+[commands]
+time_limit_s = 5
+ready_s = 8
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class Played:
+    """A play: how its release ended, when (s), and what it was judged to be."""
+
+    code: int
+    ended: float
+    result: Result
+
+
+async def play(seed: int, folder: Path, release: bool) -> Played:
+    """One play of a seed, with a release or without."""
+    folder.mkdir(parents=True)
+    path = folder / "scenario.toml"
+    path.write_text(FARM)
+    scenario = read_scenario(path)
+    code, ended = 0, float(LENGTH)
+    async with Stage(scenario, path, seed, folder / "play") as stage:
+        await stage.open()
+        await stage.begin()
+        if release:
+            staff = Staff(stage)
+            await staff.open()
+            (folder / "plan.toml").write_text(PLAN + staff.commands("servers"))
+            log = folder / "controller.log"
+            child = await run_controller(stage, folder / "plan.toml", staff.farm_file(), log)
+            async with asyncio.timeout(END_TIME):
+                code = await child.process.wait()
+            staff.close()
+            staff.note_calls()
+            ended = time.monotonic() - stage.t0
+            await stage.children["clients"].call("stop")
+        while await stage.children["clients"].call("left"):
+            await asyncio.sleep(0.1)
+    return Played(code, ended, judge_play(scenario, seed, folder / "play"))
+
+
+def worth(result: Result, until: float) -> float:
+    """The part of the worth asked for in the first seconds that was served."""
+    seconds = result.by_second[: int(until)]
+    return sum(second.earned for second in seconds) / sum(second.asked for second in seconds)
+
+
+async def pair(seed: int, folder: Path, room: asyncio.Semaphore) -> tuple[Played, Played]:
+    async with room:
+        return (
+            await play(seed, folder / f"{seed}-with", True),
+            await play(seed, folder / f"{seed}-without", False),
+        )
+
+
+async def pairs(count: int, at_once: int, folder: Path) -> list[tuple[Played, Played]]:
+    room = asyncio.Semaphore(at_once)
+    return await asyncio.gather(*(pair(seed, folder, room) for seed in range(count)))
+
+
+def main() -> None:
+    count = int(sys.argv[1]) if len(sys.argv) > 1 else 100
+    at_once = int(sys.argv[2]) if len(sys.argv) > 2 else 4
+    build()
+    with tempfile.TemporaryDirectory() as folder:
+        found = asyncio.run(pairs(count, at_once, Path(folder)))
+    sound = [(a, b) for a, b in found if not a.result.distorted and not b.result.distorted]
+    parts = [worth(a.result, a.ended) / worth(b.result, a.ended) for a, b in sound if a.code == 0]
+    print(f"{count} releases, {sum(a.code == 0 for a, _ in found)} done, {count - len(sound)} plays too late")
+    broken = [breach for a, _ in found for breach in a.result.breaches]
+    print(f"rules broken with a release {len(broken)}, without {sum(b.result.broken for _, b in found)}")
+    for breach in broken[:10]:
+        print(f"  {breach}")
+    if len(parts) > 1:
+        print(
+            f"worth beside no release, {len(parts)} pairs: mean {statistics.mean(parts):.4f}, "
+            f"deviation {statistics.stdev(parts):.4f}, least {min(parts):.4f}; "
+            f"a release took {statistics.median(a.ended for a, _ in found):.0f} s"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/flaxstep/rig/staff.py
+++ b/flaxstep/rig/staff.py
@@ -23,6 +23,14 @@
 
 PORT = 1998
 CALLS = re.compile(r"^(\S+ \S+) INFO (s-\d+) is (out|back)$", re.MULTILINE)
+COMMANDS = {
+    "servers": {"restart": "restart {id} {version}", "version": "version {id}", "check": "check {id}"},
+    "nodes": {
+        "restart": "start {id} {version} {door}",
+        "stop": "stop {id} {door}",
+        "version": "running {id} {door}",
+    },
+}
 Do = Callable[..., Awaitable[str]]
 
 
@@ -57,6 +65,12 @@
         """The words before a call."""
         return [sys.executable, "-B", str(Path(__file__).with_name("hand.py")), f"{self.stage.host}:{PORT}"]
 
+    def commands(self, what: str) -> str:
+        """The lines of a plan's table of commands."""
+        words = json.dumps(self.command)[1:-1]
+        calls = COMMANDS[what].items()
+        return "".join(f"{name} = [{words}, {json.dumps(call.split())[1:-1]}]\n" for name, call in calls)
+
     def farm_file(self, state: str = "release.sqlite") -> Path:
         """The farm as a controller meets it."""
         ways = self.stage.ways
--- a/tests/test_release_rig.py
+++ b/tests/test_release_rig.py
@@ -74,22 +74,7 @@
     def __init__(self, stage: Stage, what: str, to: str, wait: float) -> None:
         self.stage, self.staff = stage, Staff(stage)
         self.wait, self.controllers = wait, 0
-        words = json.dumps(self.staff.command)[1:-1]
-        commands = {
-            "servers": {
-                "restart": "restart {id} {version}",
-                "version": "version {id}",
-                "check": "check {id}",
-            },
-            "nodes": {
-                "restart": "start {id} {version} {door}",
-                "stop": "stop {id} {door}",
-                "version": "running {id} {door}",
-            },
-        }[what]
-        text = PLAN.format(to=to, what=what, wait=wait)
-        for name, call in commands.items():
-            text += f"{name} = [{words}, {json.dumps(call.split())[1:-1]}]\n"
+        text = PLAN.format(to=to, what=what, wait=wait) + self.staff.commands(what)
         self.plan = stage.folder / "plan.toml"
         self.plan.write_text(text)
         self.farm = self.staff.farm_file()
