Part the course: who stands where, what the scales say, and the course itself; ask versions first

Change: release.py holds the state and the line of members, scales.py evidence and judgement; with a version command members are asked before the first wave, and a plan that leaves nothing to do, or a member that runs neither version, is told as a fault; measuring begins anew with a new controller; the tables are written once, not at each opening.

--- a/benchmarks/release_lab.py
+++ b/benchmarks/release_lab.py
@@ -26,8 +26,8 @@
 from flaxstep.lab.rigging import Figures
 from flaxstep.lab.scenario import Scenario, read_scenario
 from flaxstep.lab.world import World
-from releases.course import State
 from releases.plan import Commands, Plan, Room, Watch, Waves
+from releases.release import State
 
 SCENARIO = Path(__file__).resolve().parents[1] / "scenarios" / "release.toml"
 VERSIONS = {
--- a/flaxstep/cli_release.py
+++ b/flaxstep/cli_release.py
@@ -17,10 +17,10 @@
 
 from flaxstep.refusal import Refusal
 from releases.acts import Phase
-from releases.course import State
 from releases.farm import Farm, read_farm
 from releases.limits import unfit
 from releases.plan import Plan, PlanError, at_once, read_plan, waves
+from releases.release import State
 from releases.rim.controller import Controller, members_of, open_release
 from releases.rim.look import look
 from releases.rim.store import ClaimLost, Kept, Store, StoreError, clock
--- a/flaxstep/lab/release.py
+++ b/flaxstep/lab/release.py
@@ -19,8 +19,9 @@
 from flaxstep.lab.rigging import Figures
 from flaxstep.lab.world import World
 from releases.acts import Act, Do, Result
-from releases.course import Course, Release, State, line_up
+from releases.course import Course
 from releases.plan import Member, Plan
+from releases.release import Release, State, line_up
 from releases.view import Answers, Held, Listed, NodeView, View
 from releases.view import Process as Told
 
--- a/releases/course.py
+++ b/releases/course.py
@@ -7,61 +7,19 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Mapping
-from enum import Enum
-
-import msgspec
 
 from releases.acts import OUTWARD, Act, Asks, Phase, Result, Standing, Times
-from releases.evidence import Evidence, Mark
-from releases.judge import Finding, Judge, Opinion
 from releases.limits import broken, meet, no_room, silent, unfit
-from releases.plan import Member, Plan, waves
+from releases.plan import Plan
+from releases.release import ENDED, RUNNING, Line, Release, State
+from releases.scales import Scales
 from releases.trips import NodeTrip, ServerTrip, Trip
 from releases.view import View
 
-LEAST_BEFORE = 50  # answers to measure before the release begins
-UNSURE = 2.0  # a stake over this: a wave is watched for up to so many times its time
-MOST_BAKE = 3.0
 LOW_TIME = 30.0  # s: bursts end sooner, and are no version's fault
 MOST_TRIES = 4  # trips of one member that came to nothing, for reasons of the farm's
 
 
-class State(Enum):
-    MEASURING = "measuring"
-    ROLLING = "under way"
-    PAUSED = "paused"
-    HALTED = "halted"
-    GOING_BACK = "going back"
-    DONE = "done"
-    WENT_BACK = "went back"
-    GAVE_UP = "gave up"
-
-
-ENDED = frozenset({State.DONE, State.WENT_BACK, State.HALTED, State.GAVE_UP})
-RUNNING = frozenset({State.MEASURING, State.ROLLING})
-
-
-class Release(msgspec.Struct):
-    """What is kept of a release beside its members. Times in s of the controller's clock."""
-
-    state: State = State.MEASURING
-    why: str = ""
-    wave: int = 0
-    measured: float = 0.0
-    baked: float = 0.0  # of this wave
-    waiting: str = ""  # for what
-    waits_since: float = 0.0
-    looked: float = -1.0
-    stake: float = 1.0
-    wanted: float = 0.0
-    served: float | None = None
-    low_since: float = -1.0  # since when less than the plan's `halt_worth` is served
-    doubted: float = -1.0  # when the canary was found bad once
-    marks: dict[str, dict[str, Mark]] = {}
-    pooled: dict[str, Mark] = {}
-    bets: dict[str, object] = {}
-
-
 class Course:
     """A release of a plan among members. `doors` are the nodes', by name."""
 
@@ -75,12 +33,8 @@
         )
         asks = Asks(commands.version is not None, commands.check is not None, dict(doors))
         self.trip: Trip = ServerTrip(times, asks) if plan.what == "servers" else NodeTrip(times, asks)
-        self.evidence = Evidence(plan.what, watch.slower, plan.room.worths)
-        self.judge = Judge(watch.false_halt, watch.failures)
-        if release.marks or release.pooled:
-            self.evidence.remember(release.marks, release.pooled)
-        if release.bets:
-            self.judge.remember(release.bets)
+        self.line = Line(plan, release, members)
+        self.scales = Scales(self.line)
 
     # What a look brings.
 
@@ -90,61 +44,21 @@
         self.release.looked = now
         if self.plan.what == "servers" and view.listed is not None:
             meet(self.members, view.listed, self.plan.from_)
-        self.weigh(view, passed, now)
+        if why := self.scales.look(view, passed, now):
+            self.fall(why, now)
         acts = list(self.go_on(view, now))
         if self.release.state in RUNNING:
             self.hard_limits(now)
-        if self.release.state is State.ROLLING:
-            self.roll(view, passed, now)
+        if self.release.state is State.MEASURING:
+            self.wait_for_answers()
+        elif self.release.state is State.ROLLING:
+            self.roll(view, now)
         elif self.release.state is State.GOING_BACK:
             self.go_back(view, now)
         elif self.release.state in ENDED or self.release.state is State.PAUSED:
             self.release.waiting = ""
         return acts
 
-    def weigh(self, view: View, passed: float, now: float) -> None:
-        """Take the look's figures up, and judge them."""
-        release, found = self.release, self.evidence.take(view)
-        release.served = self.evidence.served()
-        if release.state is State.MEASURING:
-            answers = self.evidence.measure(found)
-            release.measured += passed
-            if release.measured >= self.plan.watch.before_s and answers >= LEAST_BEFORE:
-                self.evidence.settle()
-                release.marks, release.pooled = self.evidence.marks, self.evidence.pooled
-                release.state = State.ROLLING
-            elif release.measured > self.plan.watch.before_s + self.plan.watch.wait_s:
-                self.end(State.GAVE_UP, f"only {answers} answers to measure before the release")
-            return
-        released = {m.id for m in self.members.values() if m.version == self.plan.to}
-        cold = {m.id for m in self.members.values() if m.phase is not Phase.SERVING}
-        seen = list(self.evidence.seen(found, released, cold))
-        doubted_for = now - release.doubted if release.doubted >= 0 else -1.0
-        if 0 <= doubted_for < self.plan.watch.doubt_s:
-            seen = [line for line in seen if not line.released]  # what met the machine shall pass first
-        opinion = self.judge.look(seen)
-        release.stake, release.wanted = opinion.stake, opinion.wanted
-        if release.state is State.ROLLING:
-            self.heed(opinion, doubted_for, passed, now)
-        release.bets = self.judge.memory()
-
-    def heed(self, opinion: Opinion, doubted_for: float, passed: float, now: float) -> None:
-        """What the judgement means for the wave. One machine alone must be found bad twice."""
-        release, watch = self.release, self.plan.watch
-        if opinion.finding is Finding.BAD:
-            if self.judge.sole and doubted_for < 0:
-                release.doubted, release.baked = now, 0.0
-                self.judge.look_again()
-            else:
-                self.fall(f"worse than the rest: {opinion.why}", now)
-        elif doubted_for >= 0:
-            if doubted_for > watch.doubt_s + watch.bake_s:
-                release.doubted = -1.0
-                self.judge.acquit()
-                release.baked = watch.bake_s if self.wave_is_out() else 0.0
-        elif self.wave_is_out() and (opinion.finding is Finding.GOOD or not self.rest()):
-            release.baked += passed
-
     def hard_limits(self, now: float) -> None:
         """What needs no comparison."""
         served, release = self.release.served, self.release
@@ -182,28 +96,28 @@
 
     # Forward.
 
-    def roll(self, view: View, passed: float, now: float) -> None:
+    def wait_for_answers(self) -> None:
+        """A farm that hardly answers anything can't be judged by."""
+        watch, release = self.plan.watch, self.release
+        if release.measured > watch.before_s + watch.wait_s:
+            self.end(State.GAVE_UP, f"only {release.answers} answers to measure before the release")
+
+    def roll(self, view: View, now: float) -> None:
         """Send the next members out, or watch the wave, or end."""
         release = self.release
         if release.doubted >= 0:
             self.wait("one machine was found worse than the rest, and is judged once more", now)
             return
-        if self.wave_is_out():
-            if release.baked < self.bake_time() and self.wave_members():
-                reason = "" if self.judge.fit or not self.rest() else "too few answers to compare with"
-                self.wait(reason, now)
+        if self.line.wave_is_out():
+            if self.line.wave() and not self.scales.baked():
+                self.wait(self.scales.starved(), now)
                 return
             release.wave, release.baked = release.wave + 1, 0.0
-            if release.wave > max((m.wave for m in self.members.values()), default=0):
+            if release.wave > self.line.last_wave:
                 self.end(State.DONE, "")
                 return
         self.wait(unfit(view, self.plan, release.served) or self.next_out(view, self.plan.to, now), now)
 
-    def bake_time(self) -> float:
-        """s; more while something speaks against the version, though not enough."""
-        unsure = self.release.stake > UNSURE and self.rest()
-        return self.plan.watch.bake_s * (MOST_BAKE if unsure else 1.0)
-
     def next_out(self, view: View, version: str, now: float) -> str:
         """Begin the trips of as many as there is room for; or why not even one, if none is under way."""
         reason = ""
@@ -224,7 +138,7 @@
         """Who may set out for a version now, in this order."""
         if version == self.plan.to:
             may = {Phase.SERVING, Phase.DOWN}
-            return [m for m in self.wave_members() if m.version != version and m.phase in may]
+            return [m for m in self.line.wave() if m.version != version and m.phase in may]
         # A bad version need not warm up first. Who is out costs no room; of the others the smallest first.
         may = {Phase.SERVING, Phase.WARMING}
         if self.plan.what == "servers":
@@ -237,16 +151,6 @@
         """It could not be brought back to the version before either."""
         return member.phase is Phase.DOWN and member.target == self.plan.from_
 
-    def wave_members(self) -> list[Standing]:
-        gone = Phase.GONE
-        return [m for m in self.members.values() if m.wave == self.release.wave and m.phase is not gone]
-
-    def wave_is_out(self) -> bool:
-        return all(m.version == self.plan.to and m.phase is Phase.SERVING for m in self.wave_members())
-
-    def rest(self) -> bool:
-        return any(m.version != self.plan.to and m.phase is Phase.SERVING for m in self.members.values())
-
     def wait(self, reason: str, now: float) -> None:
         """Keep why nothing goes on, and give up when that has lasted too long."""
         release = self.release
@@ -291,8 +195,7 @@
             self.release.state = State.PAUSED
         elif order == "resume" and state in (State.PAUSED, State.HALTED, State.GAVE_UP):
             if state is not State.PAUSED:  # staff have seen what spoke against it
-                self.judge = Judge(self.plan.watch.false_halt, self.plan.watch.failures)
-                self.release.doubted = -1.0
+                self.scales.anew()
                 for member in self.members.values():
                     member.fault, member.crashes, member.tries = "", 0, 0
             measured = bool(self.release.pooled)
@@ -312,12 +215,3 @@
         return self.release.state in ENDED and all(
             m.phase in rest and not m.open for m in self.members.values()
         )
-
-
-def line_up(plan: Plan, members: list[Member]) -> dict[str, Standing]:
-    """The members of a plan's waves, each with its wave."""
-    return {
-        member.id: Standing(member.id, member.zone, member.size, plan.from_, wave=number)
-        for number, wave in enumerate(waves(plan, members))
-        for member in wave.members
-    }
--- /dev/null
+++ b/releases/release.py
@@ -0,0 +1,83 @@
+"""What is kept of a release, and who of its members stands where."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from enum import Enum
+
+import msgspec
+
+from releases.acts import Phase, Standing
+from releases.evidence import Mark
+from releases.plan import Member, Plan, waves
+
+
+class State(Enum):
+    MEASURING = "measuring"
+    ROLLING = "under way"
+    PAUSED = "paused"
+    HALTED = "halted"
+    GOING_BACK = "going back"
+    DONE = "done"
+    WENT_BACK = "went back"
+    GAVE_UP = "gave up"
+
+
+ENDED = frozenset({State.DONE, State.WENT_BACK, State.HALTED, State.GAVE_UP})
+RUNNING = frozenset({State.MEASURING, State.ROLLING})
+
+
+class Release(msgspec.Struct):
+    """What is kept of a release beside its members. Times in s of the controller's clock."""
+
+    state: State = State.MEASURING
+    why: str = ""
+    wave: int = 0
+    measured: float = 0.0  # s
+    answers: int = 0  # that were measured in them
+    baked: float = 0.0  # of this wave
+    waiting: str = ""  # for what
+    waits_since: float = 0.0
+    looked: float = -1.0
+    stake: float = 1.0
+    wanted: float = 0.0
+    served: float | None = None
+    low_since: float = -1.0  # since when less than the plan's `halt_worth` is served
+    doubted: float = -1.0  # when the canary was found bad once
+    marks: dict[str, dict[str, Mark]] = {}
+    pooled: dict[str, Mark] = {}
+    bets: dict[str, object] = {}
+
+
+class Line:
+    """A release's members as its plan lines them up."""
+
+    def __init__(self, plan: Plan, release: Release, members: dict[str, Standing]) -> None:
+        self.plan, self.release, self.members = plan, release, members
+
+    def all(self) -> Iterable[Standing]:
+        return self.members.values()
+
+    def wave(self) -> list[Standing]:
+        """The members of the wave that is under way."""
+        return [m for m in self.all() if m.wave == self.release.wave and m.phase is not Phase.GONE]
+
+    @property
+    def last_wave(self) -> int:
+        return max((m.wave for m in self.all()), default=0)
+
+    def wave_is_out(self) -> bool:
+        return all(m.version == self.plan.to and m.phase is Phase.SERVING for m in self.wave())
+
+    def rest(self) -> bool:
+        """Whether anybody is left to compare with."""
+        return any(m.version != self.plan.to and m.phase is Phase.SERVING for m in self.all())
+
+
+def line_up(plan: Plan, members: list[Member]) -> dict[str, Standing]:
+    """The members of a plan's waves, each with its wave."""
+    return {
+        member.id: Standing(member.id, member.zone, member.size, plan.from_, wave=number)
+        for number, wave in enumerate(waves(plan, members))
+        for member in wave.members
+    }
--- a/releases/rim/controller.py
+++ b/releases/rim/controller.py
@@ -6,14 +6,16 @@
 import time
 from collections.abc import Callable
 
-from releases.acts import Act, Phase, Result
-from releases.course import ENDED, Course, Release, State, line_up
+from releases.acts import Act, Do, Phase, Result, Standing
+from releases.course import Course
 from releases.farm import Farm
 from releases.plan import Member, Plan, PlanError
+from releases.release import ENDED, Release, State, line_up
 from releases.rim.hands import Hands
 from releases.rim.look import look, look_at_list
 from releases.rim.store import ClaimLost, Kept, Store, StoreError, clock
 
+ASKED_AT_ONCE = 8  # commands
 Tell = Callable[[str], None]
 
 
@@ -135,6 +137,33 @@
             raise StoreError(f"release {found.id}, {found.plan.name}, is not over; it must be ended first")
         return found
     members = line_up(plan, await members_of(farm, plan))
+    await ask_versions(farm, plan, members)
     release = Release()
     number = store.begin(plan, release, members)
     return Kept(number, plan, release, members, {}, time.time(), None)
+
+
+async def ask_versions(farm: Farm, plan: Plan, members: dict[str, Standing]) -> None:
+    """Who runs the new version already, where the plan can ask; PlanError if that leaves nothing to do."""
+    if plan.commands.version is None:
+        return
+    hands, room = Hands(farm, plan), asyncio.Semaphore(ASKED_AT_ONCE)
+    nodes = (await look(farm, clock())).nodes
+    doors = {name: node.processes[0].door for name, node in nodes.items() if node.processes}
+
+    async def ask(member: Standing) -> str:
+        async with room:
+            result = await hands.do(Act(Do.ASK, member.id, plan.to, doors.get(member.id, "")))
+        if not result.ok:
+            return f"{member.id}: its version can't be asked: {result.text}"
+        member.version = result.text
+        known = (plan.from_, plan.to)
+        return (
+            "" if result.text in known else f"{member.id} runs {result.text}, neither {' nor '.join(known)}"
+        )
+
+    faults = [fault for fault in await asyncio.gather(*map(ask, members.values())) if fault]
+    if not faults and all(member.version == plan.to for member in members.values()):
+        faults = [f"to: every member runs {plan.to} already"]
+    if faults:
+        raise PlanError(faults)
--- a/releases/rim/store.py
+++ b/releases/rim/store.py
@@ -19,8 +19,8 @@
 import msgspec
 
 from releases.acts import CHANGES, Act, Do, Result, Standing
-from releases.course import Release
 from releases.plan import Plan
+from releases.release import Release
 
 FORM = 1  # of the tables; a file of another form is left alone
 LEASE = 10.0  # s after which a claim that was not renewed may be taken
@@ -98,9 +98,10 @@
             form = self.db.execute("PRAGMA user_version").fetchone()[0]
             if form not in (0, FORM):
                 raise StoreError(f"{path}: written by another version of the program (form {form})")
-            self.db.execute("PRAGMA journal_mode = WAL")
+            if form == 0:
+                self.db.execute("PRAGMA journal_mode = WAL")
+                self.db.executescript(f"BEGIN IMMEDIATE;{TABLES}PRAGMA user_version = {FORM};COMMIT;")
             self.db.execute("PRAGMA synchronous = FULL")
-            self.db.executescript(TABLES + f"PRAGMA user_version = {FORM};")
         except sqlite3.Error as error:
             raise StoreError(f"{path}: {error}") from None
         except OSError as error:
--- /dev/null
+++ b/releases/scales.py
@@ -0,0 +1,87 @@
+"""A release's evidence and judgement, look after look, and what they mean for its wave. Pure."""
+
+from __future__ import annotations
+
+from releases.acts import Phase
+from releases.evidence import Evidence
+from releases.judge import Finding, Judge, Opinion
+from releases.release import Line, State
+from releases.view import View
+
+LEAST_BEFORE = 50  # answers to measure before the release begins
+UNSURE = 2.0  # a stake over this: a wave is watched for up to so many times its time
+MOST_BAKE = 3.0
+
+
+class Scales:
+    """Keeps in the release what a controller that comes after needs to go on."""
+
+    def __init__(self, line: Line) -> None:
+        self.line, self.plan, self.release = line, line.plan, line.release
+        watch, release = self.plan.watch, self.release
+        self.evidence = Evidence(self.plan.what, watch.slower, self.plan.room.worths)
+        self.judge = Judge(watch.false_halt, watch.failures)
+        if release.marks or release.pooled:
+            self.evidence.remember(release.marks, release.pooled)
+        else:
+            release.measured = 0.0  # what a controller before had measured went with it
+        if release.bets:
+            self.judge.remember(release.bets)
+
+    def anew(self) -> None:
+        """Staff have seen what spoke against the version, and want it judged from here on."""
+        self.judge = Judge(self.plan.watch.false_halt, self.plan.watch.failures)
+        self.release.doubted = -1.0
+
+    def look(self, view: View, passed: float, now: float) -> str:
+        """Take a look's figures up. Why the version is bad, if it is."""
+        release, found = self.release, self.evidence.take(view)
+        release.served = self.evidence.served()
+        if release.state is State.MEASURING:
+            release.measured += passed
+            release.answers = self.evidence.measure(found)
+            if release.measured >= self.plan.watch.before_s and release.answers >= LEAST_BEFORE:
+                self.evidence.settle()
+                release.marks, release.pooled = self.evidence.marks, self.evidence.pooled
+                release.state = State.ROLLING
+            return ""
+        released = {m.id for m in self.line.all() if m.version == self.plan.to}
+        cold = {m.id for m in self.line.all() if m.phase is not Phase.SERVING}
+        seen = list(self.evidence.seen(found, released, cold))
+        if 0 <= self.doubted_for(now) < self.plan.watch.doubt_s:
+            seen = [line for line in seen if not line.released]  # what met the machine shall pass first
+        opinion = self.judge.look(seen)
+        release.stake, release.wanted = opinion.stake, opinion.wanted
+        why = self.heed(opinion, passed, now) if release.state is State.ROLLING else ""
+        release.bets = self.judge.memory()
+        return why
+
+    def doubted_for(self, now: float) -> float:
+        """s since one machine alone was found bad; negative: none is."""
+        return now - self.release.doubted if self.release.doubted >= 0 else -1.0
+
+    def heed(self, opinion: Opinion, passed: float, now: float) -> str:
+        """What the judgement means for the wave. One machine alone must be found bad twice."""
+        release, watch, doubted = self.release, self.plan.watch, self.doubted_for(now)
+        if opinion.finding is Finding.BAD:
+            if not self.judge.sole or doubted >= 0:
+                return f"worse than the rest: {opinion.why}"
+            release.doubted, release.baked = now, 0.0
+            self.judge.look_again()
+        elif doubted >= 0:
+            if doubted > watch.doubt_s + watch.bake_s:
+                release.doubted = -1.0
+                self.judge.acquit()
+                release.baked = watch.bake_s if self.line.wave_is_out() else 0.0
+        elif self.line.wave_is_out() and (opinion.finding is Finding.GOOD or not self.line.rest()):
+            release.baked += passed
+        return ""
+
+    def baked(self) -> bool:
+        """Whether the wave was watched for long enough: longer while something speaks against it."""
+        unsure = self.release.stake > UNSURE and self.line.rest()
+        return self.release.baked >= self.plan.watch.bake_s * (MOST_BAKE if unsure else 1.0)
+
+    def starved(self) -> str:
+        """Why nothing can be judged just now; nothing if it can."""
+        return "" if self.judge.fit or not self.line.rest() else "too few answers to compare with"
--- a/tests/farms.py
+++ b/tests/farms.py
@@ -9,8 +9,9 @@
 from pathlib import Path
 
 from releases.acts import CHANGES, Act, Do, Result
-from releases.course import ENDED, Course, Release, line_up
+from releases.course import Course
 from releases.plan import Member, Plan, parse_plan
+from releases.release import ENDED, Release, line_up
 from releases.rim.store import Store
 from releases.view import Answers, Held, Listed, NodeView, Process, View
 
--- a/tests/test_release_cli.py
+++ b/tests/test_release_cli.py
@@ -11,7 +11,7 @@
 from flaxstep.cli import main
 from releases.acts import Act, Do, Standing
 from releases.acts import Result as Came
-from releases.course import Release, State
+from releases.release import Release, State
 from releases.rim.store import Store
 from tests.farms import plan
 
--- a/tests/test_release_course.py
+++ b/tests/test_release_course.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from releases.course import Release, State
+from releases.release import Release, State
 from releases.rim.store import ClaimLost, Store, StoreError
 from tests.farms import FakeFarm, Run, plan
 
--- a/tests/test_release_rig.py
+++ b/tests/test_release_rig.py
@@ -17,8 +17,8 @@
 from flaxstep.rig.staff import Staff, run_controller
 from flaxstep.rig.stage import Stage
 from releases.acts import Phase, Standing
-from releases.course import Release, State
 from releases.farm import read_farm
+from releases.release import Release, State
 from releases.rim.store import LEASE, Kept, Store
 from tests.rigs import NODE, ROOT, Played, rig
 
