Restart a job server only while every node says that it is out by hand

Cause, found by reading: a node that starts anew with an empty folder has forgotten a cordon; between 'nothing in flight' and the command it may send to the server again, and one that was out unproven went straight to its command. Change: the look before a command must show the cordon at every node that lists the server, or it is taken out once more; so does one that is restarted while out. A node that can't tell who is out counts as one that does not tell what is in flight: the release waits.

--- a/releases/rim/look.py
+++ b/releases/rim/look.py
@@ -42,25 +42,23 @@
         )
         if said not in (200, 404) or told != 200:
             return f"the door answers {told if said == 200 else said} to a call for figures"
-        held = read_servers(servers) if said == 200 else {}
+        lines = json.loads(servers) if said == 200 else {}
+        held = {name: read_held(line) for name, line in lines.items()}
+        # A node of the version before has no such call, or does not tell who is out by hand.
+        tells = said == 200 and all("cordoned" in line for line in lines.values())
         word = "ready" if status == 200 else health
-        return Process(door, word, held, read_results(stats), tells=said == 200)
+        return Process(door, word, held, read_results(stats), tells)
     except CallError as error:
         return str(error)
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         return f"its figures can't be read: {type(error).__name__}: {error}"
 
 
-def read_servers(body: bytes) -> dict[str, Held]:
-    return {name: read_held(line) for name, line in json.loads(body).items()}
-
-
 def read_held(line: dict[str, Any]) -> Held:
     classes = {
         cls: Answers(told["ok"], told["failed"], told["unstarted"], Counter(dict(map(tuple, told["took"]))))
         for cls, told in line["classes"].items()
     }
-    # The version before did not tell who is out by hand.
     return Held(line["out"], line.get("cordoned", False), line["started"], classes)
 
 
--- a/releases/trips.py
+++ b/releases/trips.py
@@ -86,7 +86,7 @@
         if phase is Phase.EMPTYING:
             return self.empty(member, view, now)
         if phase is Phase.AGAIN:
-            return self.restart(member, now)
+            return self.again(member, view, now)
         if phase is Phase.FINDING:
             return self.find(member, view, now)
         if phase is Phase.PROVING:
@@ -100,6 +100,9 @@
     def empty(self, member: Standing, view: View, now: float) -> Act | None:
         """Nothing in flight, as every node said after the cordon: now the command."""
         out = view.out(member.id) if view.at > member.since else None
+        if out is not None and not view.taken_out(member.id):
+            member.go(Phase.TAKING_OUT, now)  # a node has started anew and knows nothing of it
+            return Act(Do.CORDON, member.id)
         if out == 0:
             return self.restart(member, now)
         if now - member.since > self.times.empty:
@@ -107,6 +110,15 @@
             self.undo(member, now, f"not empty after {self.times.empty:g} s: {left}")
         return None
 
+    def again(self, member: Standing, view: View, now: float) -> Act | None:
+        """Out already, and not fit to come back: taken out once more, as a node may have forgotten."""
+        if now - member.since > self.times.empty:
+            self.fail(member, now, f"could not be restarted: {member.note or 'requests are in flight there'}")
+            return None
+        if member.proved == 0:
+            return self.paced(member, Act(Do.CORDON, member.id), now)
+        return self.restart(member, now) if view.out(member.id) == 0 else None
+
     def find(self, member: Standing, view: View, now: float) -> Act | None:
         """What its command did: the version that runs says it, or a start that the list tells of."""
         if self.asks.version:
@@ -152,7 +164,9 @@
         return self.paced(member, Act(Do.UNCORDON, member.id), now)
 
     def ended(self, member: Standing, act: Act, result: Result, now: float) -> None:
-        if act.do is Do.CORDON:
+        if act.do is Do.CORDON and member.phase is Phase.AGAIN:
+            member.proved, member.note = int(result.ok), result.text
+        elif act.do is Do.CORDON:
             if result.ok:
                 member.go(Phase.EMPTYING, now)
             else:
--- a/releases/view.py
+++ b/releases/view.py
@@ -91,6 +91,10 @@
         """Whether a server is out by hand at any node."""
         return any(held.cordoned for held in self.held(server))
 
+    def taken_out(self, server: str) -> bool:
+        """Whether it is out by hand at every node that lists it."""
+        return all(held.cordoned for held in self.held(server))
+
     def held(self, server: str) -> Iterator[Held]:
         """What each process of each node knows of a server."""
         for node in self.nodes.values():
--- a/tests/test_release_course.py
+++ b/tests/test_release_course.py
@@ -108,6 +108,20 @@
     assert ours <= ({"s-2"} if name == "another's cordon" else set())
 
 
+def test_a_node_that_forgets_who_is_out_is_told_again_before_the_command(tmp_path: Path) -> None:
+    """The farm in memory asserts that nothing is restarted while a node may send to it."""
+    farm = FakeFarm()
+    run = Run(farm, plan(), tmp_path / "state")
+    forgot = 0
+    while not run.course.over:
+        run.second()
+        for member in run.members.values():
+            if member.phase.value.startswith("out, waiting") and forgot < 3:
+                farm.cordons["n2"].discard(member.id)
+                forgot += 1
+    assert run.release.state is State.DONE and forgot == 3 and at_rest(farm)
+
+
 def test_a_server_replaced_under_a_new_id_leaves_the_release_and_the_new_one_joins(tmp_path: Path) -> None:
     farm = FakeFarm()
     run = Run(farm, plan(), tmp_path / "state")
