flaxstep release run --on-bad, also when an open release is gone on with

Change: the option stands in place of the plan's key, and an open release goes on with whatever is said now, as staff may have seen what spoke against the version; any other difference of plans is refused as before.

--- a/flaxstep/cli_release.py
+++ b/flaxstep/cli_release.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
+from typing import Literal
 
 import click
 import msgspec
@@ -127,13 +128,17 @@
 @release.command("run")
 @click.argument("plan_path", metavar="PLAN", type=click.Path(path_type=Path))
 @FARM
-def run_command(plan_path: Path, farm_path: Path) -> None:
+@click.option("--on-bad", type=click.Choice(["back", "hold"]), help="In place of what the plan says.")
+def run_command(plan_path: Path, farm_path: Path, on_bad: Literal["back", "hold"] | None) -> None:
     """Carry PLAN out, or go on with it where a controller that was ended has left it.
 
-    Example: flaxstep release run v2.toml --farm farm.toml
+    Example: flaxstep release run v2.toml --farm farm.toml --on-bad hold
     """
     with refusing():
         plan, farm = read_plan(plan_path), read_farm(farm_path)
+        if on_bad is not None:
+            watch = msgspec.structs.replace(plan.watch, on_bad=on_bad)
+            plan = msgspec.structs.replace(plan, watch=watch)
         store = Store(Path(farm.state))
         store.take_claim()
         kept = None
--- a/releases/rim/controller.py
+++ b/releases/rim/controller.py
@@ -6,6 +6,8 @@
 import time
 from collections.abc import Callable
 
+import msgspec
+
 from releases.acts import Act, Do, Phase, Result, Standing
 from releases.course import Course
 from releases.farm import Farm
@@ -133,8 +135,10 @@
     """The open release of this plan, or a new one; StoreError if another plan's is open."""
     found = store.newest()
     if found is not None and found.ended is None:
-        if found.plan != plan:
+        watch = msgspec.structs.replace(found.plan.watch, on_bad=plan.watch.on_bad)
+        if msgspec.structs.replace(found.plan, watch=watch) != plan:
             raise StoreError(f"release {found.id}, {found.plan.name}, is not over; it must be ended first")
+        found.plan = plan  # staff may think otherwise of 'on_bad' by now
         return found
     members = line_up(plan, await members_of(farm, plan))
     await ask_versions(farm, plan, members)
--- a/tests/test_release_cli.py
+++ b/tests/test_release_cli.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from pathlib import Path
 
@@ -11,8 +12,10 @@
 from flaxstep.cli import main
 from releases.acts import Act, Do, Standing
 from releases.acts import Result as Came
+from releases.farm import read_farm
 from releases.release import Release, State
-from releases.rim.store import Store
+from releases.rim.controller import open_release
+from releases.rim.store import Store, StoreError
 from tests.farms import plan
 
 FARM = """
@@ -75,6 +78,17 @@
         assert done.exit_code == 2 and word in done.output and len(done.output.splitlines()) == 1
 
 
+def test_an_open_release_goes_on_with_another_on_bad_but_with_no_other_plan(folder: Path) -> None:
+    farm, store, first = read_farm(folder / "farm.toml"), Store(folder / "kept" / "state"), plan()
+    store.take_claim()
+    number = store.begin(first, Release(), {"s-1": Standing("s-1", "a", 1.0, "v1")})
+    found = asyncio.run(open_release(farm, store, plan(watch='on_bad = "hold"')))
+    assert (found.id, found.plan.watch.on_bad) == (number, "hold")
+    with pytest.raises(StoreError, match="is not over"):
+        asyncio.run(open_release(farm, store, plan(watch="slower = 2")))
+    store.close()
+
+
 def test_status_history_and_orders_of_a_release_without_a_controller(folder: Path) -> None:
     store = Store(folder / "kept" / "state")
     store.take_claim()
