Take no answer that broke off for a whole one when a release looks at a farm

Cause, found by a table of ill doors: the client of the rim returned what had come when a connection ended, so figures cut short at a place where they still parse passed as all of them, and a server listed no more seemed to have nothing in flight. Change: an answer whose end was told beforehand and did not come is none. Measured: 15 tests of looks (doors and lists that say less, nonsense or nothing); the one of the broken answer fails without the change.

--- a/releases/rim/http.py
+++ b/releases/rim/http.py
@@ -18,7 +18,10 @@
 
     def __init__(self) -> None:
         self.body = bytearray()
-        self.whole = False
+        self.whole = self.framed = False  # whether its end is told beforehand
+
+    def on_header(self, name: bytes, _: bytes) -> None:
+        self.framed |= name.lower() in (b"content-length", b"transfer-encoding")
 
     def on_body(self, body: bytes) -> None:
         self.body += body
@@ -50,6 +53,8 @@
                     raise CallError("the answer is too long")
         if not answer.whole and parser.get_status_code() == 0:
             raise CallError("the connection ended without an answer")
+        if not answer.whole and answer.framed:
+            raise CallError("the connection ended within its answer")
         return parser.get_status_code(), bytes(answer.body)
     except TimeoutError:
         raise CallError(f"no answer within {seconds:g} s") from None
--- /dev/null
+++ b/tests/test_release_look.py
@@ -0,0 +1,104 @@
+"""What a look makes of doors and lists, well or ill."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import Counter
+from typing import Any
+
+import pytest
+
+from releases.farm import Farm, NodeLine
+from releases.rim import http
+from releases.rim.look import look
+from releases.view import View
+
+STATS = "edge_router.results.build.succeeded:7|c\nedge_router.results.build.declined:2|c\n"
+STATS += "edge_router.results.build.aborted:1|c\nedge_router.outstanding:3|g"
+SERVER = {"out": 2, "cordoned": True, "started": 5, "classes": {}}
+BUILD = {"ok": 3, "failed": 1, "unstarted": 0, "took": [[8, 2], [9, 1]]}
+LIST = {"instances": [{"instanceId": "s-1", "hostPort": "h:1", "zone": "a", "lifecycle": "active"}]}
+GOOD = {
+    "/admin/health": (200, "ready"),
+    "/admin/stats": (200, STATS),
+    "/admin/servers": (200, json.dumps({"s-1": SERVER | {"classes": {"build": BUILD}}})),
+    "/catalog/members": (200, json.dumps(LIST)),
+}
+Answers = dict[str, tuple[int, str] | bytes]
+
+
+async def seen(answers: Answers) -> View:
+    """One look at a node and a list that answer so; bytes are written as they are, then the end."""
+
+    async def take(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        path = (await reader.readuntil(b"\r\n\r\n")).split()[1].decode()
+        answer = answers[path]
+        if isinstance(answer, tuple):
+            status, body = answer
+            answer = b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b" % (status, len(body), body.encode())
+        writer.write(answer)
+        writer.close()
+
+    server = await asyncio.start_server(take, "127.0.0.1", 0)
+    place = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    async with server:
+        return await look(Farm("farm", place, "state", (NodeLine("n0", (place,)),)), 3.0)
+
+
+def test_a_look_shows_what_doors_and_list_say() -> None:
+    view = asyncio.run(seen(dict(GOOD)))
+    [process] = view.nodes["n0"].processes
+    held = process.servers["s-1"]
+    assert process.ready and process.tells and process.results == {"build": (7, 2, 1)}
+    assert (held.out, held.cordoned, held.started) == (2, True, 5)
+    assert held.classes["build"].took == Counter({8: 2, 9: 1})
+    assert view.out("s-1") == 2 and view.cordoned("s-1") and view.taken_out("s-1")
+    assert view.listed is not None and view.listed["s-1"].address == "h:1"
+
+
+BEFORE = {"s-1": {name: value for name, value in SERVER.items() if name != "cordoned"}}
+
+
+@pytest.mark.parametrize(
+    ("changed", "health", "why"),
+    [
+        ({"/admin/health": (503, "quiesced")}, "quiesced", ""),
+        ({"/admin/servers": (404, "no such call")}, "ready", ""),  # of an older version
+        ({"/admin/servers": (200, json.dumps(BEFORE))}, "ready", ""),
+        ({"/admin/stats": (500, "failed")}, "", "answers 500"),
+        ({"/admin/servers": (200, "{")}, "", "can't be read"),
+        ({"/admin/servers": (200, '{"s-1": 3}')}, "", "can't be read"),
+        ({"/admin/servers": b"what?\r\n\r\n"}, "", "no proper answer"),
+        ({"/admin/health": b""}, "", "ended without an answer"),
+        (
+            {"/admin/servers": b"HTTP/1.1 200 X\r\nContent-Length: 900\r\n\r\n{}"},
+            "",
+            "ended within its answer",
+        ),
+    ],
+)
+def test_a_door_that_says_less_or_nonsense(changed: dict[str, Any], health: str, why: str) -> None:
+    view = asyncio.run(seen(GOOD | changed))
+    node = view.nodes["n0"]
+    assert [process.health for process in node.processes] == ([health] if health else [])
+    assert why in node.why
+    if health == "ready":  # it can't tell what is in flight, so nothing may be restarted
+        assert not node.processes[0].tells and view.out("s-1") is None
+
+
+@pytest.mark.parametrize("answer", [(503, "late"), (200, "[]"), (200, '{"instances": [{}]}'), b""])
+def test_a_list_that_does_not_come_is_none_and_no_empty_one(answer: Any) -> None:
+    assert asyncio.run(seen(GOOD | {"/catalog/members": answer})).listed is None
+
+
+def test_a_door_that_is_silent_is_given_its_time_and_no_more() -> None:
+    async def silent() -> tuple[int, str]:
+        server = await asyncio.start_server(lambda *_: asyncio.sleep(5), "127.0.0.1", 0)
+        place = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        try:
+            return await http.text(place, "GET", "/admin/health", seconds=0.05)
+        finally:
+            server.close()
+
+    assert asyncio.run(silent()) == (0, "no answer within 0.05 s")
