Give a node of the rig four places for its doors again

Cause, found by reading: with two, a second upgrade within the 3.7 s that a leaving process keeps its door would meet a port in use. Change: four, as before; a controller's farm file names them all.

--- a/flaxstep/rig/farm_config.py
+++ b/flaxstep/rig/farm_config.py
@@ -15,7 +15,7 @@
 EFFECTS = {"safe": "free", "keyed": "guarded", "unsafe": "single_shot"}
 # Where the rig's processes listen, at the address that is this rig's alone.
 SERVERS, NODES, DOORS, LISTS, FRONTS, LINKS = 2000, 5000, 10000, 7500, 8500, 20000
-DOORS_EACH = 2  # places for the doors of a node's processes, in turn
+DOORS_EACH = 4  # places for the doors of a node's processes, in turn: who leaves keeps its own for seconds
 
 
 def settings(scenario: Scenario, plan: Plan, node: int) -> dict[str, Any]:
