Pick up a killed controller's release in one place, for the rim and the tests alike

Found on reading the change once more: what follows a kill (open acts, times that run anew, lost results) was written in the controller and again, without the times, in the tests' harness, so the kills at every step tried another recovery than the one that runs. Change: Course.pick_up does it and both call it. And a release of job servers no longer looks at every door before it asks for versions; only nodes need it.

--- a/releases/course.py
+++ b/releases/course.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 from releases.acts import OUTWARD, Act, Asks, Phase, Result, Standing, Times
 from releases.limits import broken, meet, no_room, silent, unfit
@@ -90,9 +90,15 @@
         """What an act came to."""
         self.trip.ended(self.members[act.member], act, result, now)
 
-    def recover(self, act: Act, now: float) -> None:
-        """An act that was under way when the controller was killed."""
-        self.trip.recover(self.members[act.member], act, now)
+    def pick_up(self, left: Iterable[Act], now: float) -> None:
+        """Go on where a controller that was killed has stopped. `left`: its acts that have no result."""
+        self.release.looked, self.release.waiting = -1.0, ""
+        for member in self.members.values():
+            member.open, member.asked = 0, -1e9
+            if member.phase not in (Phase.SERVING, Phase.GONE, Phase.WARMING, Phase.DOWN):
+                member.since = now  # its time runs anew: nobody looked meanwhile
+        for act in left:
+            self.trip.recover(self.members[act.member], act, now)
 
     # Forward.
 
--- a/releases/rim/controller.py
+++ b/releases/rim/controller.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from releases.acts import Act, Do, Phase, Result, Standing
+from releases.acts import Act, Do, Result, Standing
 from releases.course import Course
 from releases.farm import Farm
 from releases.plan import Member, Plan, PlanError
@@ -18,6 +18,7 @@
 from releases.rim.store import ClaimLost, Kept, Store, StoreError, clock
 
 ASKED_AT_ONCE = 8  # commands
+LOST = Result(False, "its result was lost with the controller", known=False)
 Tell = Callable[[str], None]
 
 
@@ -34,17 +35,10 @@
 
     def pick_up(self) -> None:
         """What a controller that was killed has left: every act without a result."""
-        now, release = clock(), self.kept.release
-        release.looked, release.waiting = -1.0, ""
-        for member in self.kept.members.values():
-            member.open, member.asked = 0, -1e9
-            if member.phase not in (Phase.SERVING, Phase.GONE, Phase.WARMING, Phase.DOWN):
-                member.since = now  # its time runs anew: nobody looked meanwhile
-        unknown = Result(False, "its result was lost with the controller", known=False)
+        self.course.pick_up(self.kept.left.values(), clock())
         for number, act in self.kept.left.items():
-            self.tell(f"{act.do.value} {act.member}: {unknown.text}")
-            self.course.recover(act, now)
-            self.store.record(self.kept.id, release, self.kept.members, number, unknown)
+            self.tell(f"{act.do.value} {act.member}: {LOST.text}")
+            self.store.record(self.kept.id, self.kept.release, self.kept.members, number, LOST)
         self.kept.left.clear()
 
     async def run(self) -> None:
@@ -152,7 +146,7 @@
     if plan.commands.version is None:
         return
     hands, room = Hands(farm, plan), asyncio.Semaphore(ASKED_AT_ONCE)
-    nodes = (await look(farm, clock())).nodes
+    nodes = (await look(farm, clock())).nodes if plan.what == "nodes" else {}
     doors = {name: node.processes[0].door for name, node in nodes.items() if node.processes}
 
     async def ask(member: Standing) -> str:
--- a/tests/farms.py
+++ b/tests/farms.py
@@ -12,6 +12,7 @@
 from releases.course import Course
 from releases.plan import Member, Plan, parse_plan
 from releases.release import ENDED, Release, line_up
+from releases.rim.controller import LOST
 from releases.rim.store import Store
 from releases.view import Answers, Held, Listed, NodeView, Process, View
 
@@ -203,14 +204,9 @@
         assert kept is not None
         self.number, self.release, self.members = kept.id, kept.release, kept.members
         self.course = Course(kept.plan, kept.release, kept.members, nodes)
-        kept.release.looked, kept.release.waiting = -1.0, ""
-        for member in kept.members.values():
-            member.open = 0
-        for act in kept.left.values():
-            self.course.recover(act, self.farm.now)
+        self.course.pick_up(kept.left.values(), self.farm.now)
         for number in kept.left:
-            lost = Result(False, "lost", known=False)
-            self.store.record(self.number, self.release, self.members, number, lost)
+            self.store.record(self.number, self.release, self.members, number, LOST)
 
     def point(self) -> None:
         self.points += 1
