End connections by half-close: no reset over unread bytes, nothing read after is sent on

Cause, by forced crossings on loopback sockets (each test below failed before): - Listener closes by transport.close() (ClientConnection.close): bytes in the kernel that were not read yet turned the close into a reset (ConnectionResetError at the client), which can take a written answer with it. - ClientConnection.end() left 'reading' set where the next request had come in part: its rest was read after the shutdown, and the request was taken and sent on (the job server got a GET nobody could be answered for). - hang_up aborted after 1 s whatever was still unwritten: of a 1 MiB answer to a slow reader the last 25 KB were lost. - Node.drain ended after the longest deadline with requests read in part still open, and could end while connections taken from the kernel's queue were being adopted.

Change: one way to end a connection. Only the sending ends; what still comes is read and thrown away; the rest of the answer has its time while the client takes any of it. Lingering connections count against the limit and are the first to make room. A node that stops answers a request that it has read in part when the rest comes in time, and tells the others 503 0.7 s after SIGTERM, from when requests are no longer promised a deadline before SIGKILL.

Ruled out: TCP_NODELAY is set on both sides (test_small_writes_are_not_held_back).

--- a/badgercart/clients.py
+++ b/badgercart/clients.py
@@ -106,6 +106,7 @@
         self.handler = handler
         self.limit = limit
         self.connections: set[ClientConnection] = set()
+        self.lingering: OrderedDict[ClientConnection, None] = OrderedDict()  # shut, until they close too
         # Where each connection stands that serves nothing now, and since when, the longest first.
         self.silent: OrderedDict[ClientConnection, float] = OrderedDict()  # has sent nothing
         self.partial: OrderedDict[ClientConnection, float] = OrderedDict()  # is in its first request
@@ -151,19 +152,30 @@
             adopting.add_done_callback(self.adopting.discard)
         self.server.close()
 
+    @property
+    def occupied(self) -> bool:
+        """Whether a client is here still, also one that is just being taken or has yet to close."""
+        return bool(self.connections or self.lingering or self.adopting)
+
     def set_limit(self, limit: int) -> None:
         self.limit = limit
-        while len(self.connections) > limit and self.make_room(None):
+        while len(self.connections) + len(self.lingering) > limit and self.make_room(None):
             pass
 
     def opened(self, client: ClientConnection) -> None:
         self.connections.add(client)
         self.silent[client] = self.unproven[client] = self.loop.time()
-        if len(self.connections) > self.limit:
+        if len(self.connections) + len(self.lingering) > self.limit:
             self.make_room(client)
 
     def make_room(self, newest: ClientConnection | None) -> bool:
-        """One makes room: who has brought nothing of use, else, as a close does no harm, who is idle."""
+        """One makes room: who was told of its end, who has brought nothing of use, else, as a close does no
+        harm, who is idle."""
+        for shut in self.lingering:
+            if not shut.transport.get_write_buffer_size():
+                del self.lingering[shut]
+                shut.transport.abort()
+                return True
         stopped = next(iter(self.partial), None)
         if stopped is not None and self.partial[stopped] > self.loop.time() - STOPPED:
             stopped = None
@@ -190,9 +202,14 @@
         self.unproven.pop(client, None)
         self.partial.pop(client, None)
 
+    def shut(self, client: ClientConnection) -> None:
+        """Its last answer is written: it counts until it is closed, and nothing more is taken on it."""
+        self.closed(client)
+        self.lingering[client] = None
+
     def closed(self, client: ClientConnection) -> None:
         self.connections.discard(client)
-        for where in (self.silent, self.partial, self.idle, self.unproven):
+        for where in (self.silent, self.partial, self.idle, self.unproven, self.lingering):
             where.pop(client, None)
 
     def look(self) -> None:
@@ -210,6 +227,15 @@
         for client in [*self.idle, *(client for client, opened in self.silent.items() if opened < fresh)]:
             client.close()
 
+    def turn_away(self) -> None:
+        """Who has not sent its whole request by now is told that the node ends."""
+        for client in list(self.connections):
+            if client.reading and not client.ended:
+                client.stop_reading(BadRequest(503))
+                client.next()
+            elif not client.busy:
+                client.close()
+
     def waiting(self) -> int:
         """Requests that have come whole and wait behind others on their connections."""
         items = [item for client in self.connections for item, _ in client.waiting]
@@ -302,7 +328,8 @@
         self.request_id = 0  # of the request that is being served; 0: none
         self.busy = self.advancing = False
         self.keep = True  # the connection, after the answer under way
-        self.ended = False  # the last answer has been written
+        self.ended = False  # nothing further is read, or the last answer has been written
+        self.shut = False  # no answer can go out any more
         self.crowded = self.held = False  # why it is read no further: requests wait, a server takes no more
         self.reading = False  # a request has come in part
         self.timer: asyncio.TimerHandle | None = None  # runs while a request is on its way in
@@ -325,8 +352,11 @@
         self.listener.opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.ended = True
         self.listener.closed(self)
+        self.leave()
+
+    def leave(self) -> None:
+        self.ended = self.shut = True
         self.waiting.clear()
         self.withdraw()
         self.stop_body()
@@ -337,9 +367,20 @@
             self.listener.handler.withdraw(request_id)
 
     def close(self) -> None:
-        self.ended = True
-        self.listener.closed(self)
-        self.transport.close()
+        """End it between requests, or in one that will never be whole."""
+        self.stop_body()
+        self.hang_up()
+
+    def hang_up(self) -> None:
+        """No answer goes out from here on. What still comes can get none, so none of it is taken."""
+        if self.shut:
+            return
+        self.ended = self.shut = True
+        self.waiting.clear()
+        self.crowded = self.held = False
+        self.read_or_not()
+        self.listener.shut(self)
+        hang_up(self.listener.loop, self.transport)
 
     # Requests in.
 
@@ -347,7 +388,7 @@
         return self.listener.room.read_buffer()
 
     def buffer_updated(self, nbytes: int) -> None:
-        if self.ended and not self.reading:
+        if self.shut or (self.ended and not self.reading):
             return
         self.unread += nbytes
         self.listener.heard(self)
@@ -406,7 +447,7 @@
             self.withdraw()  # first: a body that breaks off is no failure of a server
         self.stop_body()
         if self.ended:  # what is wrong came after the last answer
-            hang_up(self.listener.loop, self.transport)
+            self.hang_up()
             return
         self.ended = True
         if upload is not None and upload.answered:
@@ -545,7 +586,7 @@
         self.hold_upload(False)
         if upload.answered:
             if self.ended:
-                hang_up(self.listener.loop, self.transport)
+                self.hang_up()
             elif not self.busy and not self.waiting:
                 self.rest()
         elif self.uploader:
@@ -584,7 +625,7 @@
             return
         self.advancing = True
         handler = self.listener.handler
-        while self.waiting and not self.busy:
+        while self.waiting and not self.busy and not self.shut:
             item, self.keep = self.waiting.popleft()
             self.busy = True
             if isinstance(item, ClientRequest):
@@ -622,8 +663,10 @@
         """Whether the connection outlives the answer under way."""
         if self.uploader and self.headers.expects:
             return False  # never told to go ahead: nobody can tell whether the body will come
-        # A node that drains still owes an answer to what it has read: the connection ends with the last.
-        return self.keep and (bool(self.waiting) or not self.listener.handler.draining)
+        # A node that drains still owes an answer to what it has read, also in part: the connection ends with
+        # the last.
+        further = bool(self.waiting) or (self.reading and not self.uploader)
+        return self.keep and (further or not self.listener.handler.draining)
 
     def begin_answer(self, length: int | None, content_type: bytes) -> None:
         """The answer goes out as it comes."""
@@ -702,4 +745,5 @@
         self.crowded = False
         self.read_or_not()
         if self.upload is None:  # else once what still comes of a body is read, so that the answer is seen
-            hang_up(self.listener.loop, self.transport)
+            self.stop_body()
+            self.hang_up()
--- a/badgercart/framing.py
+++ b/badgercart/framing.py
@@ -8,17 +8,35 @@
 from http import HTTPStatus
 
 LINGER = 1.0  # s to discard what still comes after an answer that ends the connection
+STALL = 5.0  # s without taking a byte of that answer after which the rest of it is given up
 
 STATUS_LINES = {s.value: f"HTTP/1.1 {s.value} {s.phrase}\r\nContent-Length: ".encode() for s in HTTPStatus}
 
 
 def hang_up(loop: asyncio.AbstractEventLoop, transport: asyncio.Transport) -> None:
-    """End a connection after its last answer: a plain close with bytes unread would reset it under that."""
-    if not transport.is_closing() and transport.can_write_eof():
-        transport.write_eof()
-        loop.call_later(LINGER, transport.abort)
-    else:
+    """End a connection after its last answer.
+
+    A plain close with bytes unread would reset it under that answer, so first only the sending ends: what
+    still comes is read and thrown away until the other side has closed too, or has had its time for that.
+    """
+    if transport.is_closing() or not transport.can_write_eof():
         transport.close()
+        return
+    transport.write_eof()
+    _linger(loop, transport, transport.get_write_buffer_size(), loop.time())
+
+
+def _linger(loop: asyncio.AbstractEventLoop, transport: asyncio.Transport, left: int, since: float) -> None:
+    """Wait on while the other side still takes what was written: `left` bytes since `since`."""
+    if transport.is_closing():
+        return
+    now_left = transport.get_write_buffer_size()
+    if now_left != left:
+        left, since = now_left, loop.time()
+    if loop.time() - since >= (STALL if left else LINGER):
+        transport.abort()
+    else:
+        loop.call_later(LINGER / 4, _linger, loop, transport, left, since)
 
 
 def reset(transport: asyncio.Transport) -> None:
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -59,6 +59,8 @@
 BODIES = 8  # the part of the memory that bodies in hand may take: one in so many
 FIRST_LIST = 1.0  # s that a successor with a list from before waits for discovery before it takes clients
 ACCEPT_FOR = 0.6  # s after SIGTERM during which new connections are accepted
+TAKE_FOR = 0.7  # s after SIGTERM in which requests still come: SIGKILL follows a deadline and this long after
+DRAIN_MOST = 60.0  # s after SIGTERM at which the node ends though a client still has not taken its answer
 SHARED_LOOK = 0.1  # s between looks at what another process of this node has written
 DRAIN_LOOK = 0.02  # s between looks whether all clients are answered
 STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
@@ -464,20 +466,25 @@
 
     async def drain(self) -> None:
         """Take what still comes, answer all that is held, then end."""
-        self.stopping = True
+        self.stopping, begun = True, self.loop.time()
         log.info("stopping: %d requests held", len(self.held))
         if self.server is not None:
             self.listener.close_idle()
             await asyncio.sleep(ACCEPT_FOR)
             self.listener.stop()
-        # Who has not sent its whole request by now can't keep the node from ending.
-        end = now_ms() + max(c.deadline for c in self.config.settings.classes)
-        while self.listener.connections and now_ms() < end:
-            self.listener.close_idle()
-            await asyncio.sleep(DRAIN_LOOK)
+        # Whoever has not sent its whole request by then can't have its time before SIGKILL may come.
+        await self.emptied(begun + TAKE_FOR)
+        self.listener.turn_away()
+        await self.emptied(begun + DRAIN_MOST)
         self.close()  # the list is followed to the end: what is held may still be sent again
         log.info("stopped")
 
+    async def emptied(self, until: float) -> None:
+        """Wait until all clients have their answers and have closed, or until then by the loop's clock."""
+        while self.listener.occupied and self.loop.time() < until:
+            self.listener.close_idle()
+            await asyncio.sleep(DRAIN_LOOK)
+
     def close(self) -> None:
         for server in (self.server, self.door):
             if server is not None:
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,173 @@
+"""Where two events cross on real sockets: each crossing is forced, by bytes held back, resets and closes.
+
+Node, clients and servers share one loop, so what a raw socket sends between two steps of a test lies in the
+node's kernel buffer, unread, when the next step begins.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from badgercart import framing
+from tests.net import OK, WAIT, Peer, Stand, request, running
+from tests.test_admin import until
+from tests.test_node import run
+
+
+class Raw:
+    """A client's socket that does nothing by itself."""
+
+    def __init__(self, stand: Stand, buffer: int = 0) -> None:
+        assert stand.node.server is not None
+        self.socket = socket.socket()
+        if buffer:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer)
+        self.socket.connect(stand.node.server.sockets[0].getsockname())
+        self.socket.setblocking(False)
+
+    def send(self, data: bytes) -> None:
+        assert self.socket.send(data) == len(data)
+
+    async def answer(self) -> bytes:
+        """The next bytes."""
+        return await asyncio.wait_for(asyncio.get_running_loop().sock_recv(self.socket, 65536), WAIT)
+
+    async def rest(self) -> bytes:
+        """All bytes up to the end, which must not be a reset."""
+        parts = []
+        while part := await self.answer():
+            parts.append(part)
+        return b"".join(parts)
+
+    def close(self) -> None:
+        self.socket.close()
+
+    def reset(self) -> None:
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.socket.close()
+
+
+class Gate:
+    """Servers that answer once it is open."""
+
+    def __init__(self) -> None:
+        self.open = asyncio.Event()
+
+    async def ok(self, peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
+        await self.open.wait()
+        writer.write(OK)
+
+
+# Shutdown and closes.
+
+
+def test_what_is_read_after_the_shutdown_goes_to_no_server() -> None:
+    gate = Gate()
+
+    async def test() -> None:
+        peer = await Peer(gate.ok).start()
+        async with running(peer) as stand:
+            client, second = Raw(stand), request()
+            client.send(request(Connection="close") + second[:30])
+            await asyncio.wait_for(peer.requests.get(), WAIT)
+            gate.open.set()
+            first = await client.answer()
+            assert first.startswith(b"HTTP/1.1 200") and b"Connection: close" in first
+            client.send(second[30:])
+            assert await client.rest() == b""
+            client.close()
+            await until(lambda: not stand.node.listener.connections and not stand.node.listener.lingering)
+            assert peer.requests.empty() and not stand.node.held
+
+    run(test())
+
+
+def test_a_request_that_is_read_in_part_when_the_node_stops_is_answered() -> None:
+    gate = Gate()
+
+    async def test() -> None:
+        peer = await Peer(gate.ok).start()
+        async with running(peer) as stand:
+            client, second = Raw(stand), request()
+            client.send(request() + second[:30])
+            await asyncio.wait_for(peer.requests.get(), WAIT)
+            stand.node.stopping = True
+            gate.open.set()
+            assert b"Connection: close" not in await client.answer()
+            client.send(second[30:])
+            last = await client.rest()
+            assert last.startswith(b"HTTP/1.1 200") and b"Connection: close" in last
+            await until(lambda: not stand.node.listener.idle)
+
+    run(test())
+
+
+@pytest.mark.parametrize("data", [request()[:30], request("book", body=b"ride")[:-2]], ids=["head", "body"])
+def test_who_has_not_sent_its_whole_request_is_told_that_the_node_ends(data: bytes) -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer) as stand:
+            client = Raw(stand)
+            client.send(data)
+            await until(lambda: bool(stand.node.listener.partial))
+            stand.node.stopping = True
+            stand.node.listener.turn_away()
+            told = await client.rest()
+            assert told.startswith(b"HTTP/1.1 503") and b"Connection: close" in told
+            assert not stand.node.held and peer.requests.empty()
+
+    run(test())
+
+
+def test_a_close_over_unread_bytes_is_no_reset_and_they_go_to_no_server() -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer) as stand:
+            client = Raw(stand)
+            client.send(request())
+            assert (await client.answer()).startswith(b"HTTP/1.1 200")
+            await until(lambda: bool(stand.node.listener.idle))
+            client.send(request())
+            stand.node.stopping = True
+            stand.node.listener.close_idle()
+            assert await client.rest() == b""
+            client.close()
+            await until(lambda: not stand.node.listener.lingering)
+            assert peer.requests.qsize() == 1 and not stand.node.held
+
+    run(test())
+
+
+def test_an_answer_that_its_client_reads_slowly_outlasts_the_end_of_the_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(framing, "LINGER", 0.0)
+    size = 1 << 20
+
+    async def pour(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+        for _ in range(size >> 16):
+            writer.write(bytes(65536))
+            await writer.drain()
+
+    async def test() -> None:
+        async with running(await Peer(pour).start()) as stand:
+            client = Raw(stand, buffer=4096)
+            await until(lambda: bool(stand.node.listener.connections))
+            (connection,) = stand.node.listener.connections
+            sock = connection.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)  # the kernel holds next to nothing
+            client.send(request(Connection="close"))
+            came = 0
+            while stand.node.pool.attempts or not came:
+                came += len(await client.answer())
+            for _ in range(20):  # the last of it waits for the client, and the node has no more to do
+                await asyncio.sleep(0)
+            came += len(await client.rest())
+            assert came > size
+
+    run(test())
