Notice clients that leave while they are not read

Cause: ClientConnection.read_or_not pauses reading while requests wait in a crowd on one connection or a server takes no more of a body. A paused transport reports neither end of stream nor reset, so Withdrawn came only when reading went on (seen: none within 10 s, both paths, by end of stream; by reset while a body is held up).

Change: the listener asks the system for the hang-up of just the paused descriptors every 0.1 s (poll with POLLRDHUP), and an end of stream withdraws the request at once, also while answers are still unwritten. An end of stream is a client that has left: the protocol knows clients that close, and no other way to see one.

Not noticed, and can't be: an end that the client's own system still holds behind bytes that the node takes no more of.

--- a/badgercart/clients.py
+++ b/badgercart/clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import re
+import select
 import socket
 from collections import OrderedDict, deque
 from dataclasses import dataclass
@@ -107,6 +108,7 @@
         self.limit = limit
         self.connections: set[ClientConnection] = set()
         self.lingering: OrderedDict[ClientConnection, None] = OrderedDict()  # shut, until they close too
+        self.paused: dict[int, ClientConnection] = {}  # by descriptor: those that are not read now
         # Where each connection stands that serves nothing now, and since when, the longest first.
         self.silent: OrderedDict[ClientConnection, float] = OrderedDict()  # has sent nothing
         self.partial: OrderedDict[ClientConnection, float] = OrderedDict()  # is in its first request
@@ -212,9 +214,21 @@
         for where in (self.silent, self.partial, self.idle, self.unproven, self.lingering):
             where.pop(client, None)
 
+    def look_for_the_gone(self) -> None:
+        """A connection that is not read tells of its end only when asked."""
+        if not self.paused:
+            return
+        asked = select.poll()
+        for descriptor in self.paused:
+            asked.register(descriptor, select.POLLRDHUP)
+        for descriptor, _ in asked.poll(0):
+            if (client := self.paused.get(descriptor)) is not None:  # one that goes may let another read on
+                client.gone()
+
     def look(self) -> None:
         """Who connects and brings no proper request must not hold a descriptor."""
         self.loop.call_later(LOOK, self.look)
+        self.look_for_the_gone()
         before = self.loop.time() - PROVE_TIME
         for client, opened in [item for item in self.unproven.items() if item[1] < before]:
             client.give_up(before - opened)
@@ -349,14 +363,25 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # Not isinstance: uvloop's transports do not derive from asyncio's. They come with TCP_NODELAY set.
         self.transport = cast(asyncio.Transport, transport)
+        self.descriptor: int = transport.get_extra_info("socket").fileno()
         self.listener.opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.listener.closed(self)
         self.leave()
 
+    def eof_received(self) -> None:
+        """The client has closed, so it has gone and waits for no answer. The transport closes too."""
+        self.leave()
+
+    def gone(self) -> None:
+        """The same, seen while nothing is read."""
+        self.leave()
+        self.transport.abort()
+
     def leave(self) -> None:
         self.ended = self.shut = True
+        self.listener.paused.pop(self.descriptor, None)
         self.waiting.clear()
         self.withdraw()
         self.stop_body()
@@ -424,8 +449,10 @@
         if self.transport.is_closing():
             return
         if self.crowded or self.held:
+            self.listener.paused[self.descriptor] = self
             self.transport.pause_reading()
         else:
+            self.listener.paused.pop(self.descriptor, None)
             self.transport.resume_reading()
 
     def hold_upload(self, hold: bool) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -9,11 +9,13 @@
 import asyncio
 import socket
 import struct
+from collections.abc import Callable
 
 import pytest
 
-from badgercart import framing
-from tests.net import OK, WAIT, Peer, Stand, request, running
+from badgercart import clients, framing
+from cottonhall.interface import Withdrawn
+from tests.net import OK, WAIT, Peer, Stand, request, running, stay_silent
 from tests.test_admin import until
 from tests.test_node import run
 
@@ -62,6 +64,10 @@
         writer.write(OK)
 
 
+LEAVES = pytest.mark.parametrize("leave", [Raw.close, Raw.reset], ids=["end of stream", "reset"])
+Leave = Callable[[Raw], None]
+
+
 # Shutdown and closes.
 
 
@@ -171,3 +177,70 @@
             assert came > size
 
     run(test())
+
+
+# Clients that leave.
+
+
+@LEAVES
+def test_a_client_that_leaves_while_it_is_not_read_is_noticed(leave: Leave) -> None:
+    async def test() -> None:
+        peer = await Peer(stay_silent).start()
+        async with running(peer) as stand:
+            client = Raw(stand)
+            client.send(request() * (2 * clients.MAX_WAITING))
+            await asyncio.wait_for(peer.requests.get(), WAIT)
+            (connection,) = stand.node.listener.connections
+            assert connection.crowded
+            leave(client)
+            await stand.event(Withdrawn)
+            await until(lambda: not stand.node.listener.connections)
+            assert peer.requests.empty() and not stand.node.held
+
+    run(test())
+
+
+@LEAVES
+def test_a_client_that_leaves_while_its_body_is_held_up_is_noticed(leave: Leave) -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        taken = asyncio.Event()
+
+        async def take_the_head(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            reader._transport.pause_reading()  # type: ignore[attr-defined]
+            taken.set()
+
+        peer.server.close()
+        peer.server = await asyncio.start_server(take_the_head, "127.0.0.1", 0)
+        peer.port = peer.server.sockets[0].getsockname()[1]
+        async with running(peer) as stand:
+            client, body = Raw(stand), bytes(16 << 20)
+            head = request("pay").replace(b"Content-Length: 0", b"Content-Length: %d" % len(body))
+            client.send(head)
+            await asyncio.wait_for(taken.wait(), WAIT)
+            (connection,) = stand.node.listener.connections
+            async with asyncio.timeout(WAIT):
+                while not connection.held:  # no more: what the client's own system holds would hide its end
+                    client.send(body[:65536])
+                    await asyncio.sleep(0.001)
+            leave(client)
+            await stand.event(Withdrawn)
+            await until(lambda: not stand.node.listener.connections and not stand.node.pool.attempts)
+            assert not stand.node.held
+
+    run(test())
+
+
+def test_an_unread_end_of_stream_behind_a_request_means_that_its_client_has_left() -> None:
+    async def test() -> None:
+        peer = await Peer(stay_silent).start()
+        async with running(peer) as stand:
+            client = Raw(stand)
+            client.send(request() + request()[:40])
+            client.close()
+            await stand.event(Withdrawn)
+            await until(lambda: not stand.node.listener.connections)
+            assert not stand.node.held
+
+    run(test())
