Send nothing for a request that is over, however late its connection comes up

Cause: Node.withdraw and Node.answer left dials of the request running. Where the settings allow cancels the module called them back; without (may_cancel false) ServerPool.connect wrote the request when the connection came up, a second after its client had left (test: the job server got the GET; by end of stream and by reset).

Change: what ends a request drops its attempts that have no connection yet, with the outcome that says 'never sent'. This holds on every path that ends a request, whatever the settings allow.

--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -176,11 +176,19 @@
         self.answer(action.id, 502)
 
     def answer(self, request_id: int, status: int, extra: bytes = b"") -> None:
-        held = self.held.pop(request_id, None)
+        held = self.release(request_id)
         if held is not None:
             self.figures.ended(held.cls, status)
             held.client.answer(status, extra=extra)
 
+    def release(self, request_id: int) -> Held | None:
+        """Nothing is owed any more, and no connection that still comes up carries the request."""
+        held = self.held.pop(request_id, None)
+        if held is not None:
+            for number in range(held.sends):
+                self.pool.unsend(request_id, number)
+        return held
+
     def cancel(self, action: Cancel) -> None:
         self.pool.cancel(action.id, action.attempt)
 
@@ -218,7 +226,7 @@
             self.tell(Uploaded(request_id, held.due))
 
     def withdraw(self, request_id: int) -> None:
-        held = self.held.pop(request_id, None)
+        held = self.release(request_id)
         if held is None:
             return
         self.tell(Withdrawn(request_id))
--- a/badgercart/servers.py
+++ b/badgercart/servers.py
@@ -565,6 +565,12 @@
         if attempt is not None:
             self.drop(attempt, Result.CANCELLED)
 
+    def unsend(self, request_id: int, number: int) -> None:
+        """The request is over: an attempt whose connection is not up yet does not go out."""
+        attempt = self.attempts.get((request_id, number))
+        if attempt is not None and attempt.connection is None:
+            self.drop(attempt, Result.NOT_SENT)
+
     def drop(self, attempt: Attempt, result: Result) -> None:
         """Stop waiting: the connection is of no more use, an answer may still come on it."""
         if attempt.dial is not None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -10,11 +10,12 @@
 import socket
 import struct
 from collections.abc import Callable
+from contextlib import suppress
 
 import pytest
 
 from badgercart import clients, framing
-from cottonhall.interface import Withdrawn
+from cottonhall.interface import Effect, RequestClass, Settings, Withdrawn
 from tests.net import OK, WAIT, Peer, Stand, request, running, stay_silent
 from tests.test_admin import until
 from tests.test_node import run
@@ -64,6 +65,41 @@
         writer.write(OK)
 
 
+class Door:
+    """A server whose connections come up only when it is opened: its queue of one is full before.
+
+    A connection that finds no room is tried again by the system after a second, so it comes up late.
+    """
+
+    def __init__(self) -> None:
+        self.listener = socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(0)
+        self.port: int = self.listener.getsockname()[1]
+        self.first = socket.create_connection(("127.0.0.1", self.port))
+        self.came: asyncio.Queue[bytes] = asyncio.Queue()  # first bytes of each connection; none: it ended
+
+    def open(self) -> None:
+        """Take connections from now on, all but the first that filled the queue."""
+        self.listener.accept()[0].close()
+        self.listener.setblocking(False)
+        self.task = asyncio.get_running_loop().create_task(self.accept())
+
+    async def accept(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            accepted, _ = await loop.sock_accept(self.listener)
+            accepted.setblocking(False)
+            with suppress(ConnectionError):
+                self.came.put_nowait(await loop.sock_recv(accepted, 65536))
+            accepted.close()
+
+    def close(self) -> None:
+        self.task.cancel()
+        self.listener.close()
+        self.first.close()
+
+
 LEAVES = pytest.mark.parametrize("leave", [Raw.close, Raw.reset], ids=["end of stream", "reset"])
 Leave = Callable[[Raw], None]
 
@@ -232,6 +268,35 @@
     run(test())
 
 
+@LEAVES
+@pytest.mark.parametrize("may_cancel", [True, False])
+def test_a_request_whose_client_leaves_before_its_connection_is_up_is_not_sent(
+    may_cancel: bool, leave: Leave
+) -> None:
+    async def test() -> None:
+        door = Door()
+        peer = Peer()
+        peer.port = door.port
+        late = Settings(
+            classes=(RequestClass(5000.0, 9000.0, 1.0, Effect.SAFE),) * 3,
+            may_cancel=may_cancel,
+            max_attempts=1,
+        )
+        async with running(peer, settings=late) as stand:
+            client = Raw(stand)
+            client.send(request())
+            await until(lambda: stand.node.pool.dials == 1)
+            leave(client)
+            await stand.event(Withdrawn)
+            door.open()
+            await until(lambda: stand.node.pool.dials == 0 and not stand.node.pool.attempts)
+            with suppress(TimeoutError):  # a dial that was not given up comes up within the second
+                assert await asyncio.wait_for(door.came.get(), 1.5) == b""
+            door.close()
+
+    run(test())
+
+
 def test_an_unread_end_of_stream_behind_a_request_means_that_its_client_has_left() -> None:
     async def test() -> None:
         peer = await Peer(stay_silent).start()
