Let a keyed repeat go out within its window or not at all

Cause: Policy.allowed compares the window with the moment of the decision; the repeat is written when its connection is up, up to the dial time-out later. With a window of 600 ms and a connection that came up after 1 s the job server got the repeat though its rack may have forgotten the first by then: it may run twice.

Change: Send says within how many ms it has to go out (no end but for keyed requests that may have run), counted from the first attempt that may have run; the node gives up the dial at that moment and never writes later. Also, two job servers whose zone or rack the list does not name are no longer taken for one group.

--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -164,7 +164,7 @@
         limit = held.due - now_ms()
         if action.limit:
             limit = min(limit, action.limit)
-        self.pool.send(action.id, number, action.server, limit, held.message)
+        self.pool.send(action.id, number, action.server, limit, action.within, held.message)
 
     def limit(self, action: Limit) -> None:
         self.pool.limit(action.id, action.attempt, action.limit)
@@ -320,7 +320,7 @@
             id=stable_id(name.encode()),
             zone=self.config.zones.get(line.get("zone", ""), -1),
             kind=self.config.kinds.get(line.get("machineType", ""), -1),
-            cell=int(line.get("cell", 0)),
+            cell=int(line.get("cell", -1)),
             state=STATES[line["lifecycle"]],
             size=size,
             started=started - self.unix_offset if started else 0.0,
--- a/badgercart/servers.py
+++ b/badgercart/servers.py
@@ -63,6 +63,7 @@
     message: Message
     started: float
     deadline: float
+    latest: float  # clock time from which it may not go out any more
     timer: asyncio.TimerHandle | None = None
     dial: asyncio.Task[None] | None = None
     connection: ServerConnection | None = None
@@ -467,10 +468,13 @@
             if attempt.server is server and attempt.connection is None:
                 self.drop(attempt, Result.UNREACHABLE)
 
-    def send(self, request_id: int, number: int, server_id: int, limit: float, message: Message) -> None:
+    def send(
+        self, request_id: int, number: int, server_id: int, limit: float, within: float, message: Message
+    ) -> None:
+        """Begin an attempt: it goes out within so many ms or not at all, and ends after `limit` ms."""
         server = self.servers[server_id]
         now = now_ms()
-        attempt = Attempt(request_id, number, server, server.version, message, now, now + limit)
+        attempt = Attempt(request_id, number, server, server.version, message, now, now + limit, now + within)
         self.attempts[request_id, number] = attempt
         attempt.timer = self.loop.call_later(max(0.0, limit) / 1000, self.expire, attempt)
         while server.idle:
@@ -493,7 +497,7 @@
         self.dials += 1
         connection = ServerConnection(self, server)
         try:
-            async with asyncio.timeout(self.dial_timeout / 1000):
+            async with asyncio.timeout(min(self.dial_timeout, attempt.latest - now_ms()) / 1000):
                 await self.loop.create_connection(lambda: connection, *server.address)
         except (OSError, UnicodeError):  # no connection in time, or an address that is none
             self.end(attempt, Result.UNREACHABLE)
@@ -502,7 +506,8 @@
             self.dials -= 1
         attempt.dial = None
         # Meanwhile the server may have begun to drain or come back elsewhere: then it gets nothing.
-        if attempt.version != server.version or connection.transport.is_closing():
+        changed = attempt.version != server.version
+        if changed or connection.transport.is_closing() or now_ms() >= attempt.latest:
             connection.transport.abort()
             self.end(attempt, Result.UNREACHABLE)
         else:
--- a/cottonhall/interface.py
+++ b/cottonhall/interface.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum, IntEnum
 
@@ -138,9 +139,9 @@
     """One line of the server list."""
 
     id: int
-    zone: int
-    kind: int
-    cell: int
+    zone: int  # -1: a name that the settings do not have
+    kind: int  # likewise
+    cell: int  # -1: the list does not say
     state: State
     size: float  # compared with other servers' only
     started: float  # 0: long ago
@@ -264,6 +265,7 @@
     id: int
     server: int
     limit: float  # time-out of this attempt
+    within: float = math.inf  # ms in which it has to go out: later, where it may have run, it would run again
 
 
 @dataclass(slots=True)
--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from bisect import bisect, insort
 from collections.abc import Iterator
@@ -337,6 +338,7 @@
             return
         if server.entry.id in self.untried:
             self.untried.remove(server.entry.id)
+        within = self.window_left(job)
         job.out.add(job.tries)
         job.maybe_ran[job.tries] = (self.now, server.entry)
         job.used.append(server.entry.id)
@@ -349,7 +351,7 @@
         job.tries += 1
         server.recent += 1
         self.total_recent += 1
-        self.out.append(Send(request.id, server.entry.id, end - self.now))
+        self.out.append(Send(request.id, server.entry.id, end - self.now, within))
 
     def load(self, server: Server, job: Job, number: int) -> None:
         """From now on an attempt is work for its server."""
@@ -467,13 +469,18 @@
         cls = self.settings.classes[job.request.cls]
         if not job.maybe_ran or cls.effect is not Effect.KEYED:
             return not job.maybe_ran or cls.effect is Effect.SAFE
-        return all(
-            self.now - sent < cls.window - self.settings.tick
-            and (cls.group is not Group.ZONE or entry.zone == server.entry.zone)
-            and (cls.group is not Group.CELL or entry.cell == server.entry.cell)
-            for sent, entry in job.maybe_ran.values()
+        return self.window_left(job) > 0 and all(
+            (cls.group is not Group.ZONE or entry.zone == server.entry.zone >= 0)
+            and (cls.group is not Group.CELL or entry.cell == server.entry.cell >= 0)
+            for _, entry in job.maybe_ran.values()
         )
 
+    def window_left(self, job: Job) -> float:
+        """ms in which servers drop a repeat of a keyed request that may have run; for all others: no end."""
+        cls = self.settings.classes[job.request.cls]
+        sends = [sent for sent, _ in job.maybe_ran.values()] if cls.effect is Effect.KEYED else []
+        return min(sends) + cls.window - self.settings.tick - self.now if sends else math.inf
+
     # Outcomes, further attempts and final answers.
 
     def on_uploaded(self, event: Uploaded) -> None:
--- a/tests/support.py
+++ b/tests/support.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 
 from cottonhall.interface import (
@@ -194,11 +195,12 @@
         assert not outstanding, "two attempts at once"
         self._in_turn(action.id)
         earlier = self.maybe_ran[action.id].values()
+        assert action.within > 0 and (earlier or action.within == math.inf)
         if cls.effect is Effect.UNSAFE:
             assert not earlier, "an unsafe request sent again"
         elif cls.effect is Effect.KEYED:
             for sent, other in earlier:
-                assert self.now - sent <= cls.window, "a repeat after the servers forgot it"
+                assert self.now + action.within <= sent + cls.window, "a repeat after the servers forgot it"
                 assert cls.group is not Group.ZONE or other.zone == target.zone
                 assert cls.group is not Group.CELL or other.cell == target.cell
         number = len(self.attempts[action.id])
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -15,8 +15,9 @@
 import pytest
 
 from badgercart import clients, framing
-from cottonhall.interface import Effect, RequestClass, Settings, Withdrawn
-from tests.net import OK, WAIT, Peer, Stand, request, running, stay_silent
+from badgercart.clients import stable_id
+from cottonhall.interface import Effect, Group, RequestClass, Send, Settings, Withdrawn
+from tests.net import OK, WAIT, Peer, Stand, answer, request, running, stay_silent
 from tests.test_admin import until
 from tests.test_node import run
 
@@ -309,3 +310,41 @@
             assert not stand.node.held
 
     run(test())
+
+
+# Retries.
+
+
+def test_a_keyed_repeat_whose_window_runs_out_while_its_connection_comes_up_is_not_sent() -> None:
+    async def test() -> None:
+        door, first = Door(), await Peer(answer(b"no HTTP at all\r\n\r\n")).start()
+        second = Peer()
+        second.port = door.port
+        keyed = RequestClass(5000.0, 9000.0, 1.0, Effect.KEYED, Group.ALL, window=600.0)
+        async with running(
+            first, second, settings=Settings(classes=(keyed,) * 3, may_cancel=True, max_attempts=3)
+        ) as stand:
+            policy = stand.node.policy
+            policy.random.random = lambda: 0.99  # type: ignore[method-assign]  # no draw ends it
+            sends: list[int] = []
+            send = stand.node.send
+
+            def spy(action: Send) -> None:
+                sends.append(action.server)
+                send(action)
+
+            stand.node.perform[Send] = spy
+            policy.pick = lambda job: policy.servers[  # type: ignore[method-assign]
+                stable_id(b"s-2" if job.tries else b"s-1")
+            ]
+            client = await stand.client()
+            asking = asyncio.create_task(client.ask(request("book")))
+            await until(lambda: len(sends) == 2 and stand.node.pool.dials == 1)
+            door.open()
+            status, _, _ = await asking
+            assert status != 200
+            with suppress(TimeoutError):
+                assert await asyncio.wait_for(door.came.get(), 1.5) == b""
+            door.close()
+
+    run(test())
