End an attempt that is given up before the module can send the next

Cause: ServerConnection.give_up called transport.abort(), which closes the socket in the loop's next turn, and told the module at once; its next Send wrote on a resting connection in the same turn. For that moment two attempts were out (test: the first server's socket still had no end of stream when the second attempt was started).

Change: the sending is ended by shutdown in the same step, before the outcome is told.

--- a/badgercart/framing.py
+++ b/badgercart/framing.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import struct
+from contextlib import suppress
 from http import HTTPStatus
 
 LINGER = 1.0  # s to discard what still comes after an answer that ends the connection
@@ -39,6 +40,19 @@
         loop.call_later(LINGER / 4, _linger, loop, transport, left, since)
 
 
+def cut(transport: asyncio.Transport) -> None:
+    """End a connection in this very step: the transport's own end waits for the loop's next turn."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None and not transport.is_closing():
+        bare = socket.socket(sock.family, sock.type, sock.proto, fileno=sock.fileno())
+        try:
+            with suppress(OSError):  # the other side has ended it
+                bare.shutdown(socket.SHUT_WR)
+        finally:
+            bare.detach()  # the descriptor stays the transport's
+    transport.abort()
+
+
 def reset(transport: asyncio.Transport) -> None:
     """End a connection so that the other side can tell it from an orderly end."""
     sock = transport.get_extra_info("socket")
--- a/badgercart/servers.py
+++ b/badgercart/servers.py
@@ -14,6 +14,7 @@
 from badgercart.bodies import LEAST, WHOLE, Room, Upload
 from badgercart.config import Address
 from badgercart.figures import Figures
+from badgercart.framing import cut
 from cottonhall.interface import Result, State
 
 HOLD = 0.025  # s for which an answer of unknown length is held, in case that it is short
@@ -173,7 +174,7 @@
     def give_up(self, result: Result) -> None:
         """No answer, or no more of it, is waited for here."""
         attempt = self.leave()
-        self.transport.abort()
+        cut(self.transport)  # before the module hears of it: what it sends next must not be a second one out
         if attempt is not None:
             self.pool.end(attempt, result)
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,6 +16,7 @@
 
 from badgercart import clients, framing
 from badgercart.clients import stable_id
+from badgercart.servers import Attempt, ServerConnection
 from cottonhall.interface import Effect, Group, RequestClass, Send, Settings, Withdrawn
 from tests.net import OK, WAIT, Peer, Stand, answer, request, running, stay_silent
 from tests.test_admin import until
@@ -348,3 +349,40 @@
             door.close()
 
     run(test())
+
+
+def test_the_attempt_that_is_given_up_ends_before_the_next_is_out() -> None:
+    seen: list[bytes] = []
+
+    async def test() -> None:
+        loop, first, second = asyncio.get_running_loop(), Peer(), await Peer().start()
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setblocking(False)
+        first.port = listener.getsockname()[1]
+        async with running(first, second, attempts=2) as stand:
+            policy = stand.node.policy
+            policy.random.random = lambda: 0.99  # type: ignore[method-assign]  # no draw ends it
+            to = {"name": b"s-2"}
+            policy.pick = lambda job: policy.servers[stable_id(to["name"])]  # type: ignore[method-assign]
+            client = await stand.client()
+            assert (await client.ask(request()))[0] == 200  # now a connection to the second rests
+            to["name"] = b"s-1"
+            asking = asyncio.create_task(client.ask(request()))
+            held, _ = await asyncio.wait_for(loop.sock_accept(listener), WAIT)
+            assert (await asyncio.wait_for(loop.sock_recv(held, 65536), WAIT)).startswith(b"GET ")
+            to["name"] = b"s-2"
+            write = ServerConnection.start
+
+            def look(self: ServerConnection, attempt: Attempt) -> None:
+                seen.append(held.recv(1))  # BlockingIOError: it is out still
+                write(self, attempt)
+
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setattr(ServerConnection, "start", look)
+                stand.node.pool.cancel(stand.node.last_id, 0)
+            assert (await asking)[0] == 200
+            assert seen == [b""]
+        held.close()
+        listener.close()
+
+    run(test())
