Open a silent watch anew after 3 s, and take lists that come indented or in part

Cause, silence: Discovery waited 4.5 s for a byte and then for its turn at discovery, which all nodes call at that moment. Change: an empty line is due every 2 s (PROTOCOL), so 3 s tell of silence; the first of an answer keeps its 4.5 s, as calls wait for one another.

Cause, form: each line of a watch had to be a whole object. An indented one cost a call for the whole list at each change (forced test), and one whose line end never came was not taken. Change: objects are taken out of the lines, also in pieces; what has come in part and goes on no more within 2 s has the whole list fetched. A log line of a time-out said nothing; it names it now.

--- a/badgercart/discovery.py
+++ b/badgercart/discovery.py
@@ -6,7 +6,8 @@
 import json
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
 from typing import Any
 
 import httptools
@@ -14,10 +15,13 @@
 from badgercart.config import Address
 
 PATH = "/catalog/members"
-# An empty line is due every 2 s, and a change counts as told after 6 s, also one that never arrived: a
-# watch that has said nothing for this long, in s, is opened anew in time to hear of it.
-SILENCE = 4.5
+BEAT = 2.0  # s between the empty lines of a watch that has nothing to tell
+# A change counts as told 6 s after its watch fell silent, though it never arrived. So a watch that has said
+# nothing for this long, in s, is opened anew: not for a slow line, and in time for a call that has to wait.
+SILENCE = BEAT + 1.0
+ANSWER_TIME = 4.5  # s for the first of an answer: calls of many nodes wait for one another
 CALL_TIME = 2.0  # s for a connection to come up
+PART_TIME = 2.0  # s without a byte of a list that has come in part after which it is fetched whole
 RETRY_FIRST, RETRY_MOST = 0.05, 1.0  # s between tries
 MAX_LINE = 8 << 20  # bytes
 
@@ -28,6 +32,46 @@
     """A call that gave no list, or a watch that ended: what came instead."""
 
 
+class Objects:
+    """Takes the objects out of a watch: each on a line of its own or, indented, on several."""
+
+    def __init__(self) -> None:
+        self.lines = b""  # whole lines of an object that is not whole
+        self.rest = b""  # of a line
+
+    @property
+    def begun(self) -> bool:
+        return bool(self.lines or self.rest)
+
+    def feed(self, data: bytes) -> Iterator[Any]:
+        """What has become whole; ValueError at what never can."""
+        *lines, self.rest = (self.rest + data).split(b"\n")
+        for line in lines:
+            if line.strip():
+                yield from self.add(line)
+            elif self.lines:
+                raise ValueError("an empty line within an object")
+        if self.rest.rstrip().endswith(b"}"):  # what has come counts, also before its line ends
+            with suppress(ValueError):
+                value = json.loads(self.lines + self.rest)
+                self.lines = self.rest = b""
+                yield value
+
+    def add(self, line: bytes) -> Iterator[Any]:
+        first, self.lines = not self.lines, self.lines + line + b"\n"
+        if not first and not line.rstrip().endswith((b"}", b"]")):
+            return  # nothing ends with it
+        text = self.lines.decode()
+        try:
+            value = json.loads(text)
+        except json.JSONDecodeError as error:
+            if error.pos < len(text.rstrip()):
+                raise
+            return  # nothing but its end is missing
+        self.lines = b""
+        yield value
+
+
 class Body:
     """The body of one answer, taken out of its framing."""
 
@@ -42,8 +86,9 @@
     def on_message_complete(self) -> None:
         self.complete = True
 
-    async def more(self, reader: asyncio.StreamReader) -> None:
-        async with asyncio.timeout(SILENCE):
+    async def more(self, reader: asyncio.StreamReader, within: float) -> None:
+        """Read on; TimeoutError if nothing comes within so many seconds."""
+        async with asyncio.timeout(within):
             chunk = await reader.read(65536)
         if not chunk:
             raise DiscoveryError("the connection ended")
@@ -79,7 +124,7 @@
                 await self.call(f"{PATH}?watch=1&from={self.version}", whole=False)
             except (OSError, DiscoveryError, httptools.HttpParserError) as error:
                 if not self.failing:  # one line for each stretch of failures
-                    log.warning("discovery: %s; the list stays as it is", error or type(error).__name__)
+                    log.warning("discovery: %s; the list stays as it is", str(error) or type(error).__name__)
                 self.failing = True
             except Exception:
                 # Whatever it was: a watch that dies of it would leave the node with its old list for ever.
@@ -95,27 +140,47 @@
             reader, writer = await asyncio.open_connection(host, port)
         try:
             writer.write(f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
-            body = Body()
-            while not body.complete:
-                await body.more(reader)
-                if not whole:
-                    *lines, rest = body.data.split(b"\n")
-                    body.data = rest
-                    for line in lines:
-                        self.take(bytes(line))
-            if whole or body.data:
-                self.take(bytes(body.data))
-            if not whole:
-                raise DiscoveryError("the watch ended")
+            await (self.read_whole(reader) if whole else self.read_watch(reader))
         finally:
             writer.close()
 
-    def take(self, line: bytes) -> None:
+    async def read_whole(self, reader: asyncio.StreamReader) -> None:
+        body = Body()
+        while not body.complete:
+            await body.more(reader, ANSWER_TIME)
+        with self.malformed():
+            self.take(json.loads(body.data))
+
+    async def read_watch(self, reader: asyncio.StreamReader) -> None:
+        body, objects, within = Body(), Objects(), ANSWER_TIME
+        while not body.complete:
+            try:
+                await body.more(reader, within)
+            except TimeoutError:
+                if objects.begun:
+                    self.version = None  # what the rest would have told is missed
+                raise
+            with self.malformed():
+                for value in objects.feed(bytes(body.data)):
+                    self.take(value)
+            if len(objects.lines) + len(objects.rest) > MAX_LINE:
+                raise DiscoveryError("a list over the limit")
+            if objects.begun:
+                within = PART_TIME
+            elif body.data:
+                within, self.retry, self.failing = SILENCE, RETRY_FIRST, False
+            body.data.clear()
+        raise DiscoveryError("the watch ended")
+
+    def take(self, value: Any) -> None:
+        self.version = self.on_list(value)
+        self.retry, self.failing = RETRY_FIRST, False
+
+    @contextmanager
+    def malformed(self) -> Iterator[None]:
+        """A change may have been missed with what can't be taken: only the whole list brings it back."""
         try:
-            if line.strip():
-                self.version = self.on_list(json.loads(line))
-            self.retry, self.failing = RETRY_FIRST, False
+            yield
         except (ValueError, RecursionError) as error:
-            # A change may have been missed with it: only the whole list brings it back.
             self.version = None
             raise DiscoveryError(f"malformed list: {error}") from None
--- a/tests/net.py
+++ b/tests/net.py
@@ -85,6 +85,7 @@
 
     def __init__(self, instances: list[dict[str, Any]], generation: int = 1) -> None:
         self.whole = {"generation": generation, "reset": True, "instances": instances}
+        self.indent: int | None = None  # of what it writes
         self.lines: asyncio.Queue[bytes | None] = asyncio.Queue()
         self.calls: asyncio.Queue[str] = asyncio.Queue()
 
@@ -95,7 +96,7 @@
 
     def push(self, generation: int, instances: list[dict[str, Any]], reset: bool = False) -> None:
         line = {"generation": generation, "reset": reset, "instances": instances}
-        self.lines.put_nowait(json.dumps(line).encode() + b"\n")
+        self.lines.put_nowait(json.dumps(line, indent=self.indent).encode() + b"\n")
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
@@ -103,7 +104,7 @@
             target = head.split(b" ")[1].decode()
             self.calls.put_nowait(target)
             if "watch" not in target:
-                body = json.dumps(self.whole).encode()
+                body = json.dumps(self.whole, indent=self.indent).encode()
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
                 return
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import socket
 import struct
 from collections.abc import Callable
@@ -14,10 +15,10 @@
 
 import pytest
 
-from badgercart import clients, framing
+from badgercart import clients, discovery, framing
 from badgercart.clients import stable_id
 from badgercart.servers import Attempt, ServerConnection
-from cottonhall.interface import Effect, Group, RequestClass, Send, Settings, Withdrawn
+from cottonhall.interface import Effect, Group, RequestClass, Send, ServerList, Settings, State, Withdrawn
 from tests.net import OK, WAIT, Peer, Stand, answer, request, running, stay_silent
 from tests.test_admin import until
 from tests.test_node import run
@@ -102,6 +103,7 @@
         self.first.close()
 
 
+WATCH = "/catalog/members?watch=1&from=1"
 LEAVES = pytest.mark.parametrize("leave", [Raw.close, Raw.reset], ids=["end of stream", "reset"])
 Leave = Callable[[Raw], None]
 
@@ -386,3 +388,82 @@
         listener.close()
 
     run(test())
+
+
+# List watches.
+
+
+async def told(stand: Stand, version: int) -> None:
+    while (await stand.event(ServerList)).version != version:
+        pass
+
+
+@pytest.mark.parametrize("cut", [0, 1, 40], ids=["whole", "bytes", "pieces"])
+def test_lists_may_come_indented_and_in_pieces(cut: int) -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer) as stand:
+            agent, calls = stand.agent, stand.agent.calls
+            assert await calls.get() == WATCH
+            agent.indent = 2
+            agent.push(2, [peer.entry("s-1", "leaving"), peer.entry("s-2")])
+            agent.push(3, [peer.entry("s-3")])
+            data = b"".join(line for _ in range(2) if (line := agent.lines.get_nowait()) is not None)
+            for start in range(0, len(data), cut or len(data)):
+                agent.lines.put_nowait(data[start : start + cut] if cut else data)
+            await told(stand, 3)
+            assert stand.node.listed == {stable_id(b"s-%d" % i) for i in (1, 2, 3)}
+            agent.lines.put_nowait(b'  {"generation": 4, "reset": false, "instances": []}\n')
+            await told(stand, 4)
+            assert calls.empty()  # nothing had to be asked anew
+            agent.lines.put_nowait(b"{\n\n")  # an object can't go on after this
+            assert await asyncio.wait_for(calls.get(), WAIT) == "/catalog/members"
+            await told(stand, 1)
+
+    run(test())
+
+
+def test_a_list_counts_though_the_end_of_its_line_never_comes() -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer) as stand:
+            line = json.dumps({"generation": 2, "reset": False, "instances": [peer.entry("s-1", "leaving")]})
+            stand.agent.lines.put_nowait(line.encode())
+            await told(stand, 2)
+
+    run(test())
+
+
+def test_what_was_cut_in_mid_line_is_asked_for_again() -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        async with running(peer) as stand:
+            calls = stand.agent.calls
+            assert await calls.get() == WATCH
+            stand.agent.push(2, [peer.entry("s-1", "leaving")])
+            line = stand.agent.lines.get_nowait()
+            assert line is not None
+            stand.agent.lines.put_nowait(line[:40])
+            stand.agent.lines.put_nowait(None)
+            assert await asyncio.wait_for(calls.get(), WAIT) == WATCH
+            assert stand.node.pool.servers[stable_id(b"s-1")].state is State.READY
+
+    run(test())
+
+
+def test_a_list_whose_rest_never_comes_is_fetched_whole(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "PART_TIME", 0.05)
+
+    async def test() -> None:
+        async with running(await Peer().start()) as stand:
+            assert await stand.agent.calls.get() == WATCH
+            stand.agent.lines.put_nowait(b'{"generation": 2, "ins')
+            assert await asyncio.wait_for(stand.agent.calls.get(), WAIT) == "/catalog/members"
+
+    run(test())
+
+
+def test_a_silent_watch_is_opened_anew_in_time_for_a_call_that_waits_its_turn() -> None:
+    # Told 6 s after it fell silent, 0.5 s more for drains; a call waits 3 s before discovery fails it.
+    assert discovery.BEAT + 0.5 <= discovery.SILENCE <= 6.0 + 0.5 - 3.0 - discovery.RETRY_FIRST * 1.5
+    assert discovery.ANSWER_TIME > 3.0
