End what waits for a connection as soon as its server drains, and tell the module first

Cause: ServerPool.update left dials to a server that drains, is gone or restarts to their end; the version told them then that they were for nothing, up to the dial time-out later (forced test: a request that might have gone elsewhere waited for a connection that never came up). Node.take_list told the module of a list after the pool, so what it sent on because of the list could go to a server that the same list takes out.

Change: part_with ends them as a cordon does, the module hears of the list first.

test_a_server_that_drains_while_a_dial_is_on_gets_nothing waited for the peer to see a connection end; none is made now. It asks for more instead: no dial, no connection and no attempt is left.

--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -287,6 +287,8 @@
                 kind = ListKind.FULL if raw["reset"] else ListKind.DELTA
         except (KeyError, TypeError, AttributeError, OverflowError) as error:
             raise ValueError(f"{type(error).__name__}: {error}") from None
+        # The module first: what it sends on because of the list must not go to whom the list takes out.
+        self.tell(ServerList(kind, version, [entry for entry, _, _ in entries]))
         if kind is not ListKind.DELTA:
             named = {entry.id for entry, _, _ in entries}
             for server_id in self.listed - named:
@@ -308,7 +310,6 @@
         self.healthy = True
         if kind is not ListKind.CACHED:
             self.told.set()
-        self.tell(ServerList(kind, version, [entry for entry, _, _ in entries]))
         return version
 
     def read_entry(self, line: dict[str, Any]) -> tuple[ServerEntry, Address, str]:
--- a/badgercart/servers.py
+++ b/badgercart/servers.py
@@ -69,7 +69,8 @@
     deadline: float
     latest: float  # clock time from which it may not go out any more
     timer: asyncio.TimerHandle | None = None
-    dial: asyncio.Task[None] | None = None
+    dial: asyncio.Task[None] | asyncio.TimerHandle | None = None  # until it has its connection
+    resting: ServerConnection | None = None  # the one that it waits for
     connection: ServerConnection | None = None
     written: bool = False  # whole: from now on it may have run
     streaming: bool = False  # its answer is passed on as it comes
@@ -456,21 +457,20 @@
             self.servers.pop(server_id, None)
 
     def part_with(self, server: Server) -> None:
-        """Use no connection to it that is open or on its way."""
+        """Use no connection to it that is open or on its way: what was decided before goes elsewhere."""
         server.version += 1
         for connection in server.idle:
             connection.transport.close()
         server.idle.clear()
+        for attempt in list(self.attempts.values()):
+            if attempt.server is server and attempt.connection is None:
+                self.drop(attempt, Result.UNREACHABLE)
 
     def cordon(self, server_id: int) -> None:
         """Nothing that was decided before reaches the server from now on."""
         server = self.servers.get(server_id)
-        if server is None:
-            return
-        self.part_with(server)
-        for attempt in list(self.attempts.values()):
-            if attempt.server is server and attempt.connection is None:
-                self.drop(attempt, Result.UNREACHABLE)
+        if server is not None:
+            self.part_with(server)
 
     def send(
         self, request_id: int, number: int, server_id: int, limit: float, within: float, message: Message
@@ -488,9 +488,13 @@
             rested -= 1
             if self.start_on(idle.pop(rested), attempt, now):
                 return
-        attempt.dial = self.loop.create_task(
-            self.await_rest(attempt, idle.pop(0)) if idle else self.connect(attempt)
-        )
+        if not idle:
+            attempt.dial = self.loop.create_task(self.connect(attempt))
+            return
+        # What is left of its rest is far less than it takes to open another.
+        attempt.resting = idle.pop(0)
+        left = attempt.resting.idle_since + REST - now
+        attempt.dial = self.loop.call_later(left / 1000, self.rested, attempt)
 
     def start_on(self, connection: ServerConnection, attempt: Attempt, now: float) -> bool:
         """Use a connection that has been idle, if it still can be."""
@@ -503,17 +507,12 @@
         connection.start(attempt)
         return True
 
-    async def await_rest(self, attempt: Attempt, connection: ServerConnection) -> None:
-        """The rest of a used connection is far shorter than it takes to open another."""
-        try:
-            await asyncio.sleep((connection.idle_since + REST - now_ms()) / 1000)
-        except asyncio.CancelledError:
-            self.park(connection, connection.idle_since)
-            raise
-        attempt.dial = None
+    def rested(self, attempt: Attempt) -> None:
+        """The connection that an attempt has waited for may be used."""
+        connection, attempt.resting, attempt.dial = attempt.resting, None, None
+        assert connection is not None
         if not self.start_on(connection, attempt, now_ms()):
-            attempt.dial = asyncio.current_task()
-            await self.connect(attempt)
+            attempt.dial = self.loop.create_task(self.connect(attempt))
 
     async def connect(self, attempt: Attempt) -> None:
         """Open a connection for an attempt; no byte has been sent where this fails."""
@@ -608,6 +607,9 @@
         """Stop waiting: the connection is of no more use, an answer may still come on it."""
         if attempt.dial is not None:
             attempt.dial.cancel()
+        if attempt.resting is not None:
+            self.park(attempt.resting, attempt.resting.idle_since)
+            attempt.resting = None
         if attempt.connection is not None:
             attempt.connection.give_up(result)
         else:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -470,6 +470,32 @@
     run(test())
 
 
+@pytest.mark.parametrize("state", ["leaving", "left"])
+def test_a_server_that_drains_while_a_connection_comes_up_costs_no_wait(state: str) -> None:
+    async def test() -> None:
+        door, peer = Door(), Peer()
+        peer.port = door.port
+        other = await Peer().start()
+        async with running(peer, other, attempts=2) as stand:
+            policy = stand.node.policy
+            policy.random.random = lambda: 0.99  # type: ignore[method-assign]  # no draw ends it
+            policy.pick = lambda job: policy.servers[  # type: ignore[method-assign]
+                stable_id(b"s-2" if job.tries else b"s-1")
+            ]
+            client = await stand.client()
+            asking = asyncio.create_task(client.ask(request("pay")))
+            await until(lambda: stand.node.pool.dials == 1)
+            stand.agent.push(2, [peer.entry("s-1", state)])
+            assert (await asking)[0] == 200  # at the other, though the first's connection is not up yet
+            assert stand.node.pool.dials == 0
+            door.open()
+            with suppress(TimeoutError):
+                assert await asyncio.wait_for(door.came.get(), 1.5) == b""
+            door.close()
+
+    run(test())
+
+
 def test_a_server_that_drains_while_its_connection_rests_gets_nothing() -> None:
     async def test() -> None:
         peer = await Peer().start()
@@ -487,7 +513,7 @@
             stand.node.perform[Send] = drained_at_once
             assert (await client.ask(request()))[0] == 503
             await asyncio.wait_for(peer.ended.get(), WAIT)
-            assert peer.requests.qsize() == 1
+            assert peer.requests.qsize() == 1 and peer.connections == 1
 
     run(test())
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -169,8 +169,10 @@
             node.perform[Send] = drained_at_once
             status, _, _ = await client.ask(request())
             assert (status, (await stand.outcome()).result) == (503, Result.UNREACHABLE)
-            await asyncio.wait_for(peer.ended.get(), WAIT)
-            assert peer.requests.empty()
+            async with asyncio.timeout(WAIT):
+                while node.pool.dials:
+                    await asyncio.sleep(0.01)
+            assert peer.requests.empty() and not node.pool.connections and not node.pool.attempts
 
     run(test())
 
