Remember a server until the answer that it still passes on has ended

Cause: Policy.on_began ends the job and takes its attempt off the server; on_list then forgets a server that is gone and holds nothing. The outcome at the answer's end names a server that is not there: LookupError, a traceback in the node's log ('the policy failed on Outcome', forced test), for an answer that reached its client whole.

Change: a server keeps the attempts whose answers have begun until their outcomes. An outcome that names a server no list has named stays an error. Beside it a test that held already: without a length, an answer ends with its stream, and a reset is no end.

--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -84,12 +84,21 @@
     health: list[Health]  # by class
     open: dict[tuple[int, int], tuple[Job, float, float]] = field(default_factory=dict)  # sent, overdue after
     uploads: dict[tuple[int, int], Job] = field(default_factory=dict)  # attempts whose bodies still come
+    begun: set[tuple[int, int]] = field(default_factory=set)  # whose answers are passed on as they come
     recent: float = 0.0  # our recent attempts, decayed
     slow: float = 1.0  # its answers' time over the usual for their class and its kind
     reached: float = 0.0  # when the latest of the attempts that it has answered was sent
     served: float = -1e9  # when it last served one
     proven: bool = False  # its latest attempt was served: what it answers may be sent again
 
+    def busy(self) -> bool:
+        """Whether an outcome may still name it."""
+        return bool(self.open or self.uploads or self.begun)
+
+    def take_over(self, old: Server) -> None:
+        """The attempts that are out at it before it is known anew."""
+        self.open, self.uploads, self.begun = old.open, old.uploads, old.begun
+
     def held(self, now: float) -> list[tuple[float, float]]:
         """When each attempt that it holds was sent and is overdue; without those that it has lost.
 
@@ -500,12 +509,14 @@
         """What is passed on as it comes is as good as served: its server has done the work."""
         if event.id in self.jobs:
             self.on_outcome(Outcome(event.id, event.server, True, Result.OK, event.attempt, event.elapsed))
+            self.servers[event.server].begun.add((event.id, event.attempt))
 
     def on_outcome(self, outcome: Outcome) -> None:
         server = self.servers.get(outcome.server)
         if server is None:
             raise LookupError(f"an outcome names server {outcome.server}, which no list has named")
         attempt = outcome.id, outcome.attempt
+        server.begun.discard(attempt)
         if (uploading := server.uploads.pop(attempt, None)) is not None:  # told of its end before its work
             self.load(server, uploading, outcome.attempt)
         job, sent, _ = server.open.pop(attempt, (None, 0.0, 0.0))
@@ -659,7 +670,7 @@
             self.note(entry)
         # Where servers come and go all day, those that are gone must not be kept for ever.
         known = self.servers.items()
-        self.servers = {i: s for i, s in known if s.entry.state is not State.GONE or s.open or s.uploads}
+        self.servers = {i: s for i, s in known if s.entry.state is not State.GONE or s.busy()}
         self.measure_fleet()
 
     def measure_fleet(self) -> None:
@@ -687,7 +698,7 @@
             health = [Health() for _ in self.usual]
             self.servers[entry.id] = Server(entry, self.random.random(), self.now, health)
             if old is not None:
-                self.servers[entry.id].open, self.servers[entry.id].uploads = old.open, old.uploads
+                self.servers[entry.id].take_over(old)
         was_ready = old is not None and old.entry.state is State.READY
         self.servers[entry.id].entry = entry
         if was_ready == (entry.state is State.READY) or entry.id in self.cordoned:
@@ -720,7 +731,7 @@
             health = [Health() for _ in self.usual]
             first = self.random.random() < FIRST / self.settings.group_size
             fresh = Server(server.entry, 1.0 if first else self.random.random(), self.now, health)
-            fresh.open, fresh.uploads = server.open, server.uploads
+            fresh.take_over(server)
             self.servers[server_id] = fresh
             if was_out and server.entry.state is State.READY:
                 insort(self.ready, server_id, key=mix)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,9 +16,21 @@
 import pytest
 
 from badgercart import clients, discovery, framing, servers
+from badgercart.bodies import WHOLE
 from badgercart.clients import stable_id
 from badgercart.servers import Attempt, ServerConnection
-from cottonhall.interface import Effect, Group, RequestClass, Send, ServerList, Settings, State, Withdrawn
+from cottonhall.interface import (
+    Began,
+    Effect,
+    Group,
+    RequestClass,
+    Result,
+    Send,
+    ServerList,
+    Settings,
+    State,
+    Withdrawn,
+)
 from tests.net import OK, WAIT, Peer, Stand, answer, request, running, stay_silent
 from tests.test_admin import until
 from tests.test_node import run
@@ -139,6 +151,13 @@
 
 
 WATCH = "/catalog/members?watch=1&from=1"
+
+
+async def told(stand: Stand, version: int) -> None:
+    while (await stand.event(ServerList)).version != version:
+        pass
+
+
 LEAVES = pytest.mark.parametrize("leave", [Raw.close, Raw.reset], ids=["end of stream", "reset"])
 Leave = Callable[[Raw], None]
 
@@ -551,12 +570,60 @@
     run(test())
 
 
-# List watches.
+# Answers.
 
 
-async def told(stand: Stand, version: int) -> None:
-    while (await stand.event(ServerList)).version != version:
-        pass
+def test_the_end_of_an_answer_from_a_server_that_is_gone_is_no_failure(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    gate = Gate()
+
+    async def slowly(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (WHOLE + 2) + bytes(WHOLE + 1))
+        await gate.open.wait()
+        writer.write(b"x")
+
+    async def test() -> None:
+        peer = await Peer(slowly).start()
+        async with running(peer) as stand:
+            client = Raw(stand)
+            client.send(request())
+            await stand.event(Began)
+            stand.agent.push(2, [peer.entry("s-1", "left")])
+            await told(stand, 2)
+            gate.open.set()
+            came = 0
+            while came < WHOLE:
+                came += len(await client.answer())
+            assert (await stand.outcome()).result == Result.OK
+            assert not [record for record in caplog.records if record.levelname == "ERROR"]
+
+    run(test())
+
+
+@pytest.mark.parametrize("how", [reset_now, socket.socket.close], ids=["reset", "end of stream"])
+def test_an_answer_without_a_length_ends_with_its_stream_and_not_with_a_reset(
+    how: Callable[[socket.socket], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(servers, "HOLD", 60.0)
+
+    class Spoken(RawPeer):
+        async def answer(self, sock: socket.socket) -> None:
+            await asyncio.get_running_loop().sock_recv(sock, 65536)
+            sock.send(b"HTTP/1.1 200 OK\r\n\r\ndone")
+            how(sock)
+
+    async def test() -> None:
+        peer = Spoken()
+        async with running(peer) as stand:
+            status, _, body = await (await stand.client()).ask(request("pay"))
+            assert (status, body) == ((200, b"done") if how is socket.socket.close else (502, b""))
+        peer.close()
+
+    run(test())
+
+
+# List watches.
 
 
 @pytest.mark.parametrize("cut", [0, 1, 40], ids=["whole", "bytes", "pieces"])
