Hold a node to its end through signals in any order, with clients read in part

Need: no test held SIGTERM before ready, twice, or crossing SIGHUP, nor a request that is read in part then. All ten orders end with exit code 0, every request answered and no traceback; a request whose rest comes in time is served, one whose rest never comes is told 503.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -153,3 +153,101 @@
             assert later.requests.qsize() == 1
 
     uvloop.run(test())
+
+
+async def ends_cleanly(node: Process) -> None:
+    """With exit code 0 and no traceback on the way."""
+    assert node.stderr is not None
+    said = (await asyncio.wait_for(node.stderr.read(), WAIT)).decode()
+    assert await asyncio.wait_for(node.wait(), WAIT) == 0
+    assert "Traceback" not in said and "ERROR" not in said, said
+
+
+@pytest.mark.parametrize(
+    "signals",
+    [
+        (signal.SIGTERM,),
+        (signal.SIGTERM, signal.SIGTERM),
+        (signal.SIGHUP, signal.SIGTERM),
+        (signal.SIGTERM, signal.SIGHUP),
+        (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP),
+    ],
+    ids=lambda signals: " ".join(each.name for each in signals),
+)
+@pytest.mark.parametrize("ready", [True, False])
+def test_signals_in_any_order_end_a_node_once_it_has_answered(
+    tmp_path: Path, signals: tuple[signal.Signals, ...], ready: bool
+) -> None:
+    release = asyncio.Event()
+
+    async def held_back(peer: Peer, head: bytes, writer: asyncio.StreamWriter) -> None:
+        await release.wait()
+        await answer_ok(peer, head, writer)
+
+    async def test() -> None:
+        peer = await Peer(held_back).start()
+        agent = await Agent([peer.entry()]).start()
+        raw = raw_config() | {"discovery": f"127.0.0.1:{agent.port}"}
+        if not ready:
+            raw["discovery"] = "127.0.0.1:1"  # nobody is there: it never has a list
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(raw))
+        async with started(path, wait=ready) as (node, port):
+            if not ready:
+                while "listens on" not in await log_line(node):
+                    pass
+            else:
+                client = Client(*await asyncio.open_connection("127.0.0.1", port))
+                client.writer.write(request())
+                await asyncio.wait_for(peer.requests.get(), WAIT)
+            for number in signals:
+                node.send_signal(number)
+            if ready:
+                while "stopping" not in await log_line(node):
+                    pass
+                release.set()
+                status, head, _ = await client.answer()
+                assert (status, field(head, b"Connection")) == (200, b"close")
+                assert await client.end() == b""
+                client.writer.close()
+            await ends_cleanly(node)
+
+    uvloop.run(test())
+
+
+def test_who_is_still_sending_when_the_node_stops_gets_an_answer_before_it_ends(tmp_path: Path) -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        agent = await Agent([peer.entry()]).start()
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(raw_config() | {"discovery": f"127.0.0.1:{agent.port}"}))
+        async with started(path) as (node, port):
+
+            async def client() -> Client:
+                return Client(*await asyncio.open_connection("127.0.0.1", port))
+
+            soon, never, data = await client(), await client(), request()
+            soon.writer.write(data[:40])
+            never.writer.write(data[:40])
+            await soon.writer.drain()
+            await a_turn(port)
+            node.send_signal(signal.SIGTERM)
+            while "stopping" not in await log_line(node):
+                pass
+            soon.writer.write(data[40:])
+            assert (await soon.answer())[0] == 200
+            status, head, _ = await never.answer()
+            assert (status, field(head, b"Connection")) == (503, b"close")
+            for each in (soon, never):
+                assert await each.end() == b""
+                each.writer.close()
+            await ends_cleanly(node)
+
+    uvloop.run(test())
+
+
+async def a_turn(port: int) -> None:
+    """A turn of the node's loop passes: what came before it is read."""
+    other = Client(*await asyncio.open_connection("127.0.0.1", port))
+    await other.ask(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
+    other.writer.close()
