Be ready after a restart only once the pushed list is confirmed, or after 1 s

Cause: a restarted node said that it was ready with the list from before its end. Where lists are pushed, what discovery has counts as told from the first moment of a process (STANDING), so sends by the old list break the rule on drains half a second later. Where lists are asked for, the old list is in force until an answer comes, and nothing changes.

Change: readiness waits for discovery's first word, an empty line too, 1 s at most; who comes before is served.

--- a/badgercart/discovery.py
+++ b/badgercart/discovery.py
@@ -103,10 +103,15 @@
     """Keeps the list fresh. `on_list` gets each one, raw, and raises ValueError at what it can't take."""
 
     def __init__(
-        self, address: Address, on_list: Callable[[dict[str, Any]], int], rng: random.Random
+        self,
+        address: Address,
+        on_list: Callable[[dict[str, Any]], int],
+        on_current: Callable[[], None],
+        rng: random.Random,
     ) -> None:
         self.address = address
         self.on_list = on_list
+        self.on_current = on_current  # the list in force is discovery's own
         self.random = rng
         self.version: int | None = None  # of the list in force; None: the whole list is wanted
         self.retry = RETRY_FIRST
@@ -169,6 +174,7 @@
                 within = PART_TIME
             elif body.data:
                 within, self.retry, self.failing = SILENCE, RETRY_FIRST, False
+                self.on_current()  # also by an empty line: nothing has changed
             body.data.clear()
         raise DiscoveryError("the watch ended")
 
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -57,7 +57,7 @@
 MARGIN = 10.0
 SPARE_SOCKETS = 64  # descriptors for listeners, discovery, files, callers, and connections that are closing
 BODIES = 8  # the part of the memory that bodies in hand may take: one in so many
-FIRST_LIST = 1.0  # s that a successor with a list from before waits for discovery before it takes clients
+FIRST_LIST = 1.0  # s that a process with a list from before waits for discovery before it is ready
 ACCEPT_FOR = 0.6  # s after SIGTERM during which new connections are accepted
 TAKE_FOR = 0.7  # s after SIGTERM in which requests still come: SIGKILL follows a deadline and this long after
 DRAIN_MOST = 60.0  # s after SIGTERM at which the node ends though a client still has not taken its answer
@@ -106,6 +106,7 @@
         self.watch: asyncio.Task[None] | None = None
         self.listed: set[int] = set()  # servers in the list
         self.told = asyncio.Event()  # discovery has given a list
+        self.born = loop.time()
         clients, servers = room(config.sockets)
         self.figures = Figures(name.decode("latin-1") for name in config.classes)
         self.by_server = ServerFigures(self.figures.classes)
@@ -114,7 +115,9 @@
             loop, config.dial_timeout, config.idle_timeout, servers, self, self.figures, self.room
         )
         self.listener = Listener(loop, config, self, clients, self.room)
-        self.discovery = Discovery(config.discovery, self.take_list, random.Random(config.seed))
+        self.discovery = Discovery(
+            config.discovery, self.take_list, self.told.set, random.Random(config.seed)
+        )
         self.perform: dict[type[Action], Callable[[Any], None]] = {
             Send: self.send,
             Limit: self.limit,
@@ -347,7 +350,19 @@
 
     @property
     def ready(self) -> bool:
-        return self.healthy and self.server is not None and not self.draining
+        return self.healthy and self.informed and self.server is not None and not self.draining
+
+    @property
+    def informed(self) -> bool:
+        """Whether a list from before a restart has been confirmed, or there is no waiting for that any more.
+
+        Where lists are pushed, what discovery has counts as told from a process's first moment.
+        """
+        return (
+            self.config.settings.ask_for_list
+            or self.told.is_set()
+            or self.loop.time() - self.born > FIRST_LIST
+        )
 
     def tell_health(self, _: bytes) -> Reply:
         if self.ready:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -17,7 +17,18 @@
 from badgercart.clients import stable_id
 from badgercart.node import MARGIN
 from badgercart.servers import IdleLimit, ServerConnection
-from cottonhall.interface import Outcome, Request, Result, Send, ServerList, State, Withdrawn
+from cottonhall.interface import (
+    Effect,
+    Outcome,
+    Request,
+    RequestClass,
+    Result,
+    Send,
+    ServerList,
+    Settings,
+    State,
+    Withdrawn,
+)
 from tests.net import (
     OK,
     WAIT,
@@ -32,6 +43,8 @@
     stay_silent,
 )
 
+SAFE = RequestClass(aim=5000.0, deadline=9000.0, worth=1.0, effect=Effect.SAFE)
+
 
 def run(test: Coroutine[Any, Any, None]) -> None:
     uvloop.run(test)
@@ -423,6 +436,7 @@
 def test_many_answers_at_once_do_not_nest() -> None:
     async def test() -> None:
         async with running(await Peer().start()) as stand:
+            await asyncio.wait_for(stand.node.told.wait(), WAIT)  # else it is not ready yet
             client = await stand.client()
             client.writer.write(b"GET /_health HTTP/1.1\r\n\r\n" * 3000)
             for _ in range(3000):
@@ -577,6 +591,33 @@
     run(test())
 
 
+@pytest.mark.parametrize("asks", [False, True], ids=["pushed", "asked for"])
+def test_a_restarted_node_where_lists_are_pushed_waits_a_moment_for_the_first(
+    asks: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    health = b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"
+
+    async def test() -> None:
+        peer = await Peer().start()
+        rules = Settings(classes=(SAFE,) * 3, max_attempts=1, ask_for_list=asks)
+        async with running(peer, settings=rules) as stand:
+            await asyncio.wait_for(stand.node.told.wait(), WAIT)  # an empty line: nothing has changed
+        monkeypatch.setattr(
+            discovery.Discovery, "run", lambda self: asyncio.Event().wait()
+        )  # it says nothing
+        async with running(peer, settings=rules) as stand:
+            client = await stand.client()
+            assert (await client.ask(health))[0] == (200 if asks else 503)
+            assert (await client.ask(request()))[0] == 200  # who comes all the same is served
+            stand.node.take_list({"generation": 2, "reset": True, "instances": [peer.entry("s-1")]})
+            assert (await client.ask(health))[0] == 200
+        monkeypatch.setattr(node, "FIRST_LIST", 0.0)  # discovery is down: the list from before has to do
+        async with running(peer, settings=rules) as stand:
+            assert (await (await stand.client()).ask(health))[0] == 200
+
+    run(test())
+
+
 def test_a_late_answer_reaches_the_policy_and_not_the_client() -> None:
     async def test() -> None:
         peer = await Peer(stay_silent).start()
