Name a keyed class without its group instead of taking it for keyed to all

Cause: read_settings took a missing Group for 'all', the widest there is: a keyed request that may have run could then be sent to any job server and refused (the wire names Group for guarded classes; other customers' settings are theirs to get right, and ours to read). Found on the search for defaults that hide a missing key; the others are on the safe side (no window: no repeat) or not tied to a rule. Nothing else in program and deploy file names a class, tenant or zone, but the help text of flaxstep load, as an example.

Change: where a class is keyed the group has to be there.

--- a/cottonhall/wire.py
+++ b/cottonhall/wire.py
@@ -104,25 +104,29 @@
         raise WireError(f"settings: {error}") from None
 
 
+def _class(raw: dict[str, Any]) -> RequestClass:
+    effect = _EFFECTS[raw["Idempotency"]]
+    # No guess where a keyed request may be repeated: a wrong one would let it run twice. No window: nowhere.
+    group = _GROUPS[raw["Group"] if effect is Effect.KEYED else raw.get("Group", "all")]
+    return RequestClass(
+        aim=float(raw["Aim"]),
+        deadline=float(raw["Deadline"]),
+        worth=float(raw["Worth"]),
+        effect=effect,
+        group=group,
+        window=float(raw.get("Window", 0.0)),
+        late_value=float(raw.get("LateValue", 0.0)),
+        in_order=bool(raw.get("SerialByKey", False)),
+    )
+
+
 def _settings(raw: dict[str, Any]) -> Settings:
     allowed, rules = raw["Allowed"], raw["Obligations"]
     discovery = raw["Discovery"]
     if discovery not in ("push", "ask"):
         raise ValueError(f"Discovery can't be {discovery!r}")
     return Settings(
-        classes=tuple(
-            RequestClass(
-                aim=float(c["Aim"]),
-                deadline=float(c["Deadline"]),
-                worth=float(c["Worth"]),
-                effect=_EFFECTS[c["Idempotency"]],
-                group=_GROUPS[c.get("Group", "all")],
-                window=float(c.get("Window", 0.0)),
-                late_value=float(c.get("LateValue", 0.0)),
-                in_order=bool(c.get("SerialByKey", False)),
-            )
-            for c in raw["Classes"]
-        ),
+        classes=tuple(_class(c) for c in raw["Classes"]),
         zone=int(raw.get("MyZone", 0)),
         group_size=int(raw.get("GroupSize", 1)),
         me=int(raw.get("Me", 0)),
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -159,6 +159,8 @@
         ({"Tick": 0}, "tick"),
         ({"Classes": [{**SETTINGS["Classes"][0], "Aim": -1}]}, "aim"),  # type: ignore[index]
         ({"Classes": [{**SETTINGS["Classes"][0], "Idempotency": "maybe"}]}, "maybe"),  # type: ignore[index]
+        ({"Classes": [{**SETTINGS["Classes"][0], "Group": "rack"}]}, "rack"),  # type: ignore[index]
+        ({"Classes": [{k: v for k, v in SETTINGS["Classes"][0].items() if k != "Group"}]}, "Group"),  # type: ignore[index]
         ({"Allowed": {}}, "MaxAttempts"),
     ],
 )
