--- a/badgercart/framing.py
+++ b/badgercart/framing.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 import struct
-from collections.abc import Iterator
-from contextlib import contextmanager, suppress
+from contextlib import suppress
 from http import HTTPStatus
 
 LINGER = 1.0  # s to discard what still comes after an answer that ends the connection
@@ -41,39 +41,23 @@
         loop.call_later(LINGER / 4, _linger, loop, transport, left, since)
 
 
-@contextmanager
-def _bare(transport: asyncio.Transport) -> Iterator[socket.socket | None]:
-    """The transport's own socket for a moment, or None where it is closing: the descriptor stays its."""
-    sock = None if transport.is_closing() else transport.get_extra_info("socket")
-    if sock is None:
-        yield None
-        return
-    bare = socket.socket(sock.family, sock.type, sock.proto, fileno=sock.fileno())
-    try:
-        yield bare
-    finally:
-        bare.detach()
-
-
-def quiet(transport: asyncio.Transport) -> bool:
+def quiet(descriptor: int) -> bool:
     """Whether nothing has come that the loop has not read yet: no byte, no end and no reset."""
-    with _bare(transport) as sock:
-        if sock is None:
-            return False
-        try:
-            sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-    return False
+    asked = select.poll()
+    asked.register(descriptor, select.POLLIN | select.POLLRDHUP)
+    return not asked.poll(0)
 
 
 def cut(transport: asyncio.Transport) -> None:
     """End a connection in this very step: the transport's own end waits for the loop's next turn."""
-    with _bare(transport) as sock, suppress(OSError):  # the other side may have ended it
-        if sock is not None:
-            sock.shutdown(socket.SHUT_WR)
+    sock = transport.get_extra_info("socket")
+    if sock is not None and not transport.is_closing():
+        bare = socket.socket(sock.family, sock.type, sock.proto, fileno=sock.fileno())
+        try:
+            with suppress(OSError):  # the other side may have ended it
+                bare.shutdown(socket.SHUT_WR)
+        finally:
+            bare.detach()  # the descriptor stays the transport's
     transport.abort()
 
 
--- a/badgercart/servers.py
+++ b/badgercart/servers.py
@@ -159,6 +159,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # Not isinstance: uvloop's transports do not derive from asyncio's. They come with TCP_NODELAY set.
         self.transport = cast(asyncio.Transport, transport)
+        self.descriptor: int = transport.get_extra_info("socket").fileno()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.pool.connections.discard(self)
@@ -500,7 +501,8 @@
         """Use a connection that has been idle, if it still can be."""
         idled = now - connection.idle_since
         fresh = connection.version == attempt.version == attempt.server.version and idled < self.keep_idle.ms
-        if not fresh or now >= attempt.latest or not quiet(connection.transport):
+        closing = connection.transport.is_closing()
+        if not fresh or closing or now >= attempt.latest or not quiet(connection.descriptor):
             connection.transport.close()
             return False
         connection.idled = idled
