Count the wait for the first list as over when it is, not a tick later

test_a_restarted_node_where_lists_are_pushed_… failed once in a whole run of the checks (577 passed): the loop's clock counts whole milliseconds, and a wait of none was not over within the first. The comparison is inclusive now.

--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -361,7 +361,7 @@
         return (
             self.config.settings.ask_for_list
             or self.told.is_set()
-            or self.loop.time() - self.born > FIRST_LIST
+            or self.loop.time() - self.born >= FIRST_LIST
         )
 
     def tell_health(self, _: bytes) -> Reply:
