--- a/tests/net.py
+++ b/tests/net.py
@@ -14,6 +14,7 @@
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
 CLASSES = {"find": Effect.SAFE, "book": Effect.KEYED, "pay": Effect.UNSAFE}
+WATCH = "/catalog/members?watch=1&from=1"  # a node that knows the first list asks so
 WAIT = 10.0  # s, for what must come; only a failing test gets there
 
 Script = Callable[["Peer", bytes, asyncio.StreamWriter], Awaitable[None]]
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -31,7 +31,7 @@
     State,
     Withdrawn,
 )
-from tests.net import OK, WAIT, Peer, Stand, answer, request, running, stay_silent
+from tests.net import OK, WAIT, WATCH, Peer, Stand, answer, request, running, stay_silent
 from tests.test_admin import until
 from tests.test_node import run
 
@@ -150,9 +150,6 @@
         self.first.close()
 
 
-WATCH = "/catalog/members?watch=1&from=1"
-
-
 async def told(stand: Stand, version: int) -> None:
     while (await stand.event(ServerList)).version != version:
         pass
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -32,6 +32,7 @@
 from tests.net import (
     OK,
     WAIT,
+    WATCH,
     Peer,
     Script,
     answer,
@@ -531,11 +532,11 @@
         peer = await Peer().start()
         async with running(peer) as stand:
             client, calls = await stand.client(), stand.agent.calls
-            assert await calls.get() == "/catalog/members?watch=1&from=1"
+            assert await calls.get() == WATCH
             stand.agent.lines.put_nowait(line + b"\n")
             assert await asyncio.wait_for(calls.get(), WAIT) == "/catalog/members"
             assert (await client.ask(request()))[0] == 200
-            assert await asyncio.wait_for(calls.get(), WAIT) == "/catalog/members?watch=1&from=1"
+            assert await asyncio.wait_for(calls.get(), WAIT) == WATCH
 
     run(test())
 
@@ -545,7 +546,7 @@
         peer = await Peer().start()
         async with running(peer) as stand:
             calls = stand.agent.calls
-            assert await calls.get() == "/catalog/members?watch=1&from=1"
+            assert await calls.get() == WATCH
             stand.agent.push(5, [peer.entry("s-1", "leaving")])
             stand.agent.lines.put_nowait(None)
             assert await asyncio.wait_for(calls.get(), WAIT) == "/catalog/members?watch=1&from=5"
@@ -561,7 +562,7 @@
         async with running(await Peer().start()) as stand:
             for _ in range(3):
                 call = await asyncio.wait_for(stand.agent.calls.get(), WAIT)
-                assert call == "/catalog/members?watch=1&from=1"
+                assert call == WATCH
             assert stand.node.healthy and not stand.node.pool.servers.keys() - stand.node.listed
 
     run(test())
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -85,6 +85,10 @@
             await node.wait()
 
 
+async def connect(port: int) -> Client:
+    return Client(*await asyncio.open_connection("127.0.0.1", port))
+
+
 async def log_line(node: Process) -> str:
     assert node.stderr is not None
     line = (await asyncio.wait_for(node.stderr.readline(), WAIT)).decode()
@@ -105,17 +109,13 @@
         path = tmp_path / "config.json"
         path.write_text(json.dumps(raw_config() | {"discovery": f"127.0.0.1:{agent.port}"}))
         async with started(path) as (node, port):
-
-            async def client() -> Client:
-                return Client(*await asyncio.open_connection("127.0.0.1", port))
-
-            holder, idle = await client(), await client()
+            holder, idle = await connect(port), await connect(port)
             assert (await idle.ask(b"GET /_health HTTP/1.1\r\n\r\n"))[0] == 200
             holder.writer.write(request())
             await asyncio.wait_for(peer.requests.get(), WAIT)
             node.send_signal(signal.SIGTERM)
             assert await idle.end() == b""  # an idle connection is closed
-            late = await client()  # new ones are still taken
+            late = await connect(port)  # new ones are still taken
             late.writer.write(request())
             await asyncio.wait_for(peer.requests.get(), WAIT)
             release.set()
@@ -136,7 +136,7 @@
         path = tmp_path / "config.json"
         path.write_text(json.dumps(raw_config() | {"discovery": f"127.0.0.1:{first.port}"}))
         async with started(path) as (node, port):
-            client = Client(*await asyncio.open_connection("127.0.0.1", port))
+            client = await connect(port)
             assert (await client.ask(request()))[0] == 200
             for broken in ("not JSON", "[]", "{}", '{"discovery": 7}', '{"discovery": "nowhere"}'):
                 path.write_text(broken)
@@ -197,7 +197,7 @@
                 while "listens on" not in await log_line(node):
                     pass
             else:
-                client = Client(*await asyncio.open_connection("127.0.0.1", port))
+                client = await connect(port)
                 client.writer.write(request())
                 await asyncio.wait_for(peer.requests.get(), WAIT)
             for number in signals:
@@ -222,11 +222,7 @@
         path = tmp_path / "config.json"
         path.write_text(json.dumps(raw_config() | {"discovery": f"127.0.0.1:{agent.port}"}))
         async with started(path) as (node, port):
-
-            async def client() -> Client:
-                return Client(*await asyncio.open_connection("127.0.0.1", port))
-
-            soon, never, data = await client(), await client(), request()
+            soon, never, data = await connect(port), await connect(port), request()
             soon.writer.write(data[:40])
             never.writer.write(data[:40])
             await soon.writer.drain()
@@ -248,6 +244,6 @@
 
 async def a_turn(port: int) -> None:
     """A turn of the node's loop passes: what came before it is read."""
-    other = Client(*await asyncio.open_connection("127.0.0.1", port))
+    other = await connect(port)
     await other.ask(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
     other.writer.close()
