Wait until the node that is killed has something out at each server, not just any node

Cause: `hold` in tests/test_rig_faults.py counted a server's "Began" over its "Ended" lines, whoever had sent them. Ruled out: the node and the rig; both did as told, the test's own wait was over too soon.

Change: what is out is read from the play's own story, with the node that sent it, and the wait names the nodes.

--- a/tests/test_rig_faults.py
+++ b/tests/test_rig_faults.py
@@ -10,8 +10,9 @@
 
 import pytest
 
+from flaxstep.rig.record import read_records
 from flaxstep.rig.stage import Stage
-from flaxstep.rig.story import Attempt
+from flaxstep.rig.story import FOREVER, Attempt, tell
 from tests.rigs import ROOT, Played, alive, rig
 
 BOTH = {"way": "both", "size": 1.0, "jitter": 0.0}
@@ -28,17 +29,23 @@
     return [[attempt for attempt in one.attempts if attempt.ran] for one in tries]
 
 
-async def hold(stage: Stage, servers: range) -> None:
-    """Servers take what comes and answer nothing, until each of them has something out."""
-    for server in servers:
-        await stage.set_server(server, paused=True)
+def out(stage: Stage) -> set[tuple[int, int]]:
+    """Node and server of each attempt that a server holds now."""
+    story = tell(read_records(stage.folder), stage.plan, stage.scenario.rig.regions)
+    return {
+        (one.node, attempt.began.server)
+        for one in story.tries.values()
+        for attempt in one.attempts
+        if attempt.ended == FOREVER
+    }
 
-    def holding(server: int) -> bool:
-        text = (stage.folder / f"server-{server}.jsonl").read_text()
-        return text.count('"Began"') > text.count('"Ended"')
 
+async def hold(stage: Stage, servers: range, nodes: range) -> None:
+    """Servers take what comes and answer nothing, until each of them has something out of these nodes."""
+    for server in servers:
+        await stage.set_server(server, paused=True)
     async with asyncio.timeout(OUT_WAIT):
-        while not all(holding(server) for server in servers):
+        while not set(servers) <= {server for node, server in out(stage) if node in nodes}:
             await asyncio.sleep(0.02)
 
 
@@ -81,7 +88,7 @@
 def test_a_node_killed_with_requests_out_at_three_servers_and_unsafe_ones_run_once(tmp_path: Path) -> None:
     async def acts(stage: Stage) -> None:
         await asyncio.sleep(0.4)
-        await hold(stage, range(3))
+        await hold(stage, range(3), range(1))  # of the node that is killed
         await stage.kill("node:0")
         for server in range(3):
             await stage.set_server(server, paused=False)
@@ -105,7 +112,7 @@
     async def acts(stage: Stage) -> None:
         spec = link(name, "nodes", "servers")
         await asyncio.sleep(0.4)
-        await hold(stage, range(6))
+        await hold(stage, range(6), range(2))
         await stage.fault(1, spec)
         for server in range(6):
             await stage.set_server(server, paused=False)
