Tell clients' connections apart by zone and port: one port may lead to two zones' listeners

Cause: the story of a play joined a try with its node by the client's port alone (`join_tries` in flaxstep/rig/story.py, `Dealt` without its zone). The kernel gives one port to connections to different listeners at once; then a request of zone 0 passed for one of node 1. Beside it: a first request that was written before the front came to its connection (`Dealt` 1.1 ms after `Asked` in the same play) was nobody's, so that the judge let pass whatever became of it.

Change: `Dealt` says the zone, tries are joined by zone and port, and by the first line after where none is before.

--- a/flaxstep/rig/front.py
+++ b/flaxstep/rig/front.py
@@ -53,7 +53,7 @@
             if node is None:
                 accepted.close()
                 continue
-            self.recorder.write(Dealt(self.recorder.now(), peer[1], node))
+            self.recorder.write(Dealt(self.recorder.now(), zone, peer[1], node))
             self.tasks.spawn(Pair(self.loop).open(accepted, *self.nodes[node]))
 
     # Health.
--- a/flaxstep/rig/record.py
+++ b/flaxstep/rig/record.py
@@ -2,7 +2,8 @@
 none.
 
 Times are ms since the play began, by the machine's monotonic clock, which all processes share. Ports tell
-connections apart: each is that of the side that opened it.
+the connections to one listener apart: each is that of the side that opened it, which may have the same port
+on connections to others.
 """
 
 from __future__ import annotations
@@ -46,8 +47,9 @@
 
 
 class Dealt(Line, frozen=True):
-    """The front has given a client's connection to a node."""
+    """The front has given a client's connection to a node; it has a listener for each zone."""
 
+    zone: int
     port: int
     node: int
 
--- a/flaxstep/rig/story.py
+++ b/flaxstep/rig/story.py
@@ -152,14 +152,17 @@
 
 
 def join_tries(story: Story, kinds: dict[type, list[Record]]) -> None:
-    dealt: dict[int, list[Dealt]] = defaultdict(list)
+    dealt: dict[tuple[int, int], list[Dealt]] = defaultdict(list)
     for record in kinds[Dealt]:
         if isinstance(record, Dealt):
-            dealt[record.port].append(record)
+            dealt[record.zone, record.port].append(record)
     for record in kinds[Asked]:
         if isinstance(record, Asked):
-            before = [line for line in dealt[record.port] if line.at <= record.at]
-            story.tries[record.id] = TryStory(record, before[-1].node if before else -1)
+            lines = dealt[record.zone, record.port]
+            before = [line for line in lines if line.at <= record.at]
+            # The kernel takes a connection, and a first request on it, before the front comes to it.
+            line = next(iter(before[-1:] or lines), None)
+            story.tries[record.id] = TryStory(record, line.node if line else -1)
     for record in kinds[Answered]:
         if isinstance(record, Answered) and record.id in story.tries:
             one = story.tries[record.id]
--- a/tests/test_rig_judge.py
+++ b/tests/test_rig_judge.py
@@ -8,7 +8,11 @@
 
 import pytest
 
+from flaxstep.lab.draw import draw_plan
+from flaxstep.lab.scenario import read_scenario
+from flaxstep.rig.record import Asked, Dealt
 from flaxstep.rig.stage import Stage
+from flaxstep.rig.story import tell
 from tests.rigs import ROOT, Played, rig
 
 
@@ -63,3 +67,23 @@
         assert PLANTED[fault] <= play.broken <= PLANTED[fault] | MORE.get(fault, set()), fault
         for breach in play.result.breaches:
             assert breach.at > 0 and (breach.request or breach.rule == "cold server")
+
+
+@pytest.mark.parametrize(
+    ("dealt", "nodes"),
+    [
+        ([(4.0, 0, 0), (6.0, 1, 1)], [0, 1]),  # one port on connections to the listeners of two zones
+        ([(6.0, 1, 1), (7.0, 0, 0)], [0, 1]),
+        ([(4.0, 0, 0), (6.0, 1, 1), (20.0, 0, 1)], [0, 1]),  # the port is used once more, later
+        ([(12.0, 0, 0), (13.0, 1, 1)], [0, 1]),  # the kernel took requests before the front came to them
+        ([(4.0, 0, 0)], [0, -1]),  # one was never dealt
+    ],
+)
+def test_a_request_is_the_node_s_to_which_its_own_connection_was_dealt(
+    dealt: list[tuple[float, int, int]], nodes: list[int]
+) -> None:
+    asked = [Asked(10.0, zone, 0, str(zone), 0, zone, 5000, 500.0, True, 9.0) for zone in (0, 1)]
+    lines = [Dealt(at, zone, 5000, node) for at, zone, node in dealt]
+    plan = draw_plan(read_scenario(ROOT / "scenarios" / "demo.toml"), 1)
+    story = tell([*asked, *lines], plan, {})
+    assert [story.tries[str(zone)].node for zone in (0, 1)] == nodes
