Compare two trees' nodes side by side, in turns of 2.5 s, by the scheduler's count

Need: `benchmarks/node_pairs.py` played one node after the other, 13 s each, and read processor time in ticks of 10 ms.

Change: both nodes run at once and are asked in turn, who was first is second in the next pair, nanoseconds come from /proc/PID/schedstat, quartiles are told. The stand-in for discovery ends with its node, so no traceback ends the output.

--- a/benchmarks/node_pairs.py
+++ b/benchmarks/node_pairs.py
@@ -1,9 +1,10 @@
 """CPU and memory that a node takes for a request, of two trees in pairs.
 
-From the root: .venv-dev/bin/python -B -m benchmarks.node_pairs TREE OTHER [PAIRS [REQUESTS]]. For each pair a
-node of either tree runs alone, with a discovery and twelve job servers beside it that answer after 10 ms; 8
-clients ask it one request after the other, 40 ms apart. Told are microseconds of the node's processor time a
-request, how many of them were refused, and its resident memory.
+From the root: .venv-dev/bin/python -B -m benchmarks.node_pairs TREE OTHER [PAIRS]. A node of either tree
+runs, each with a discovery of its own and twelve job servers that answer after 10 ms. They are asked in turn,
+2.5 s each, and who was first in a pair is second in the next: what the machine does to one in that time it
+mostly does to both. 8 clients ask one request after the other, 40 ms apart. Told are microseconds of the
+node's processor time a request, how many of them were refused, and its resident memory at the end.
 """
 
 from __future__ import annotations
@@ -14,10 +15,12 @@
 import statistics
 import sys
 import tempfile
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 
 CLIENTS = 8
+TURN = 50  # requests of each client in a turn
 WORK, REST = 0.01, 0.04  # s that an answer takes, and between two requests of a client
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
 ASK = b"GET /find/k HTTP/1.1\r\nHost: x\r\nRequest-Id: %016x\r\nRequest-Timeout: 5000m\r\n\r\n"
@@ -54,13 +57,12 @@
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
             return
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        try:
-            while True:
+        with suppress(ConnectionError):
+            while not reader.at_eof():
                 writer.write(b"1\r\n\n\r\n")
-                await writer.drain()
-                await asyncio.sleep(2)
-        except ConnectionError:
-            writer.close()
+                with suppress(TimeoutError):
+                    await asyncio.wait_for(reader.read(1), 2)  # nothing comes but the node's end
+        writer.close()
 
     return serve
 
@@ -87,9 +89,8 @@
 
 
 def spent(pid: int) -> float:
-    """Seconds of processor time so far."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+    """Seconds of processor time so far, as the scheduler counts them."""
+    return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
 
 
 def resident(pid: int) -> float:
@@ -98,8 +99,9 @@
     return next(int(line.split()[1]) for line in lines if line.startswith("VmRSS")) / 1024
 
 
-async def play(tree: Path, requests: int) -> tuple[float, float, int]:
-    """Microseconds a request, MiB at the end, and requests refused."""
+@asynccontextmanager
+async def running(tree: Path) -> AsyncIterator[tuple[int, int]]:
+    """A node of a tree with all that it needs: its process id, and the port that it listens at."""
     servers = [await listen(job_server) for _ in range(12)]
     agent, agent_port = await listen(discovery([port for _, port in servers]))
     with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
@@ -124,12 +126,7 @@
                 listed = listed or "list 1" in line
                 if "listens on" in line:
                     port = int(line.rpartition(":")[2])
-            await asyncio.gather(*(ask(port, 100 * i, 50) for i in range(CLIENTS)))  # warm
-            before = spent(node.pid)
-            share = requests // CLIENTS
-            refused = await asyncio.gather(*(ask(port, 1000 + i * share, share) for i in range(CLIENTS)))
-            cpu = (spent(node.pid) - before) / (share * CLIENTS) * 1e6
-            return cpu, resident(node.pid), sum(refused)
+            yield node.pid, port
         finally:
             node.terminate()
             await node.communicate()
@@ -137,21 +134,33 @@
                 server.close()
 
 
-async def main(trees: list[Path], pairs: int, requests: int) -> None:
-    told: list[list[tuple[float, float, int]]] = [[], []]
-    for _ in range(pairs):
-        for figures, tree in zip(told, trees, strict=True):
-            figures.append(await play(tree, requests))
-    for figures, tree in zip(told, trees, strict=True):
-        cpu, memory, refused = zip(*figures, strict=True)
-        low, middle, high = min(cpu), statistics.median(cpu), max(cpu)
-        print(f"{tree}: {middle:.0f} us a request ({low:.0f} to {high:.0f}), ", end="")
-        print(f"{statistics.median(memory):.1f} MiB, {sum(refused)} refused")
-    ratios = [first[0] / second[0] for first, second in zip(*told, strict=True)]
-    low, middle, high = min(ratios), statistics.median(ratios), max(ratios)
-    print(f"CPU, first over second: median {middle:.3f}, {low:.3f} to {high:.3f}")
+async def turn(pid: int, port: int, first: int) -> tuple[float, int]:
+    """All clients ask one node: microseconds a request, and requests refused."""
+    before = spent(pid)
+    refused = await asyncio.gather(*(ask(port, first + i * TURN, TURN) for i in range(CLIENTS)))
+    return (spent(pid) - before) / (CLIENTS * TURN) * 1e6, sum(refused)
+
+
+async def main(trees: list[Path], pairs: int) -> None:
+    cpu: list[list[float]] = [[], []]
+    refused, memory = [0, 0], [0.0, 0.0]
+    async with running(trees[0]) as one, running(trees[1]) as other:
+        nodes = [one, other]
+        for number in range(pairs + 1):
+            for which in (0, 1) if number % 2 else (1, 0):
+                each, more = await turn(*nodes[which], 1000 * number)
+                refused[which] += more
+                if number:  # the first is to warm them
+                    cpu[which].append(each)
+        memory = [resident(pid) for pid, _ in nodes]
+    for which, tree in enumerate(trees):
+        low, middle, high = statistics.quantiles(cpu[which])
+        print(f"{tree}: {middle:.0f} us a request (quartiles {low:.0f} to {high:.0f}), ", end="")
+        print(f"{memory[which]:.1f} MiB, {refused[which]} refused")
+    low, middle, high = statistics.quantiles(a / b for a, b in zip(*cpu, strict=True))
+    print(f"CPU, first over second, {pairs} pairs: median {middle:.3f}, quartiles {low:.3f} to {high:.3f}")
 
 
 if __name__ == "__main__":
-    counts = [int(text) for text in sys.argv[3:5]]
-    asyncio.run(main([Path(p).resolve() for p in sys.argv[1:3]], *(counts + [6, 1600][len(counts) :])))
+    count = int(sys.argv[3]) if len(sys.argv) > 3 else 20
+    asyncio.run(main([Path(p).resolve() for p in sys.argv[1:3]], count))
