Try again soon where all was refused: bind the averaged load to what is out

The log of each stretch without a send (instrumented copies) reads `cut 74 none 0 late 0 x 1.00 errors 0.12 in flight 2.29 of 1.54 flying 0`: all refused by the cut, nothing out. What is in flight is averaged over 4 to 5 s where the need is about one (`set_cut`) and ran on past 1.4 times the need, where all is refused already; and slow answers make the best rate be forgotten in 4 s (`learn_need`), also while nothing is out that could answer. Both fell at one pace, so their ratio stayed. Ruled out: servers lacking (`none 0`), errors, hung attempts (open []).

Change: past what refuses all the average is at most what is out now; nothing is forgotten while nothing is out. No constant changes.

--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -283,6 +283,8 @@
         self.learn_need(passed)
         x = (self.errors - ERRORS_FROM) / (ERRORS_FULL - ERRORS_FROM)
         full = IN_FLIGHT_FULL + (IN_FLIGHT_BRIEF - IN_FLIGHT_FULL) * self.patience
+        # There all is refused. What is averaged beyond tells no more, and would keep it so after its end.
+        self.in_flight = min(self.in_flight, max(full * self.need, self.flying - lost))
         x = max(x, (self.in_flight / self.need - IN_FLIGHT_FROM) / (full - IN_FLIGHT_FROM))
         self.x = min(max(x, 0.0), 1.0)
         self.cut = 100.0 * self.x**3
@@ -298,7 +300,9 @@
         self.rate += (self.met / max(passed, 1.0) - self.rate) * passed / self.age
         self.pace += (self.met / max(passed, 1.0) / self.warm - self.pace) * passed / self.age
         # Slow answers though no more is sent than at best: other nodes send more than they did, it is gone.
-        forget = BEST_TIME if self.mean < SLOW * self.least else ERROR_TIME
+        # While nothing is out, no answer tells of that.
+        slow = self.mean >= SLOW * self.least and self.flying
+        forget = ERROR_TIME if slow else BEST_TIME
         self.best_rate = max(self.best_rate * (1 - passed / forget), self.rate)
         self.carried = max(self.carried * (1 - passed / forget), self.pace)
         self.met = 0
