Count who has left until its descriptor is free, though it stands in no order any more

Change: `left` takes it out of the orders, `closed` frees its place, as before, when the transport has closed.

--- a/badgercart/clients.py
+++ b/badgercart/clients.py
@@ -211,7 +211,12 @@
 
     def closed(self, client: ClientConnection) -> None:
         self.connections.discard(client)
-        for where in (self.silent, self.partial, self.idle, self.unproven, self.lingering):
+        self.lingering.pop(client, None)
+        self.left(client)
+
+    def left(self, client: ClientConnection) -> None:
+        """It can make no room any more. Its descriptor counts until its transport closes, a turn later."""
+        for where in (self.silent, self.partial, self.idle, self.unproven):
             where.pop(client, None)
 
     def look_for_the_gone(self) -> None:
@@ -367,6 +372,7 @@
         self.listener.opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self.listener.closed(self)
         self.leave()
 
     def eof_received(self) -> None:
@@ -379,9 +385,9 @@
         self.transport.abort()
 
     def leave(self) -> None:
-        """Nothing more comes or goes. It stands in no order from now on; its transport ends a turn later."""
+        """Nothing more comes or goes."""
         self.ended = self.shut = True
-        self.listener.closed(self)
+        self.listener.left(self)
         self.listener.paused.pop(self.descriptor, None)
         self.waiting.clear()
         self.withdraw()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -707,7 +707,8 @@
 
     def leave_and_shrink(client: clients.ClientConnection) -> None:
         leave(client)
-        if not looks:  # the first that leaves
+        if not looks:  # the first that leaves: its descriptor is not free yet
+            assert client in client.listener.connections
             client.listener.set_limit(limit)
 
     async def test() -> None:
