Log each attempt, refusal, closed connection and call to discovery with its cause

Need: the incident's logs could not tell when a call to discovery began, what became of it, or why a request was refused and a connection closed. Change: one line for each call to discovery; with log_level debug one line an event with the client's Request-Id, as key=value. Refuse and Fail carry their cause. rules.py imports one name a line.

--- a/badgercart/__main__.py
+++ b/badgercart/__main__.py
@@ -50,6 +50,7 @@
     except ConfigError as error:
         print(f"badgercart: {error}", file=sys.stderr)
         return 2
+    logging.getLogger().setLevel(config.log_level)
     try:
         uvloop.run(serve(config))
     except OSError as error:
--- a/badgercart/clients.py
+++ b/badgercart/clients.py
@@ -15,6 +15,7 @@
 
 from badgercart.bodies import LEAST, MAX_BODY, WHOLE, Room, Upload
 from badgercart.config import Config
+from badgercart.eventlog import event
 from badgercart.framing import STATUS_LINES, hang_up, reset
 from badgercart.servers import Message, now_ms
 from cottonhall.interface import Effect
@@ -192,7 +193,7 @@
         )
         for client in ways:
             if client is not None and client is not newest:
-                client.close()
+                client.close("makes_room")
                 return True
         return False
 
@@ -247,7 +248,7 @@
         """A client that sees its connection close comes back elsewhere. One just opened may yet ask."""
         fresh = self.loop.time() - FRESH
         for client in [*self.idle, *(client for client, opened in self.silent.items() if opened < fresh)]:
-            client.close()
+            client.close("draining")
 
     def turn_away(self) -> None:
         """Who has not sent its whole request by now is told that the node ends."""
@@ -256,7 +257,7 @@
                 client.stop_reading(BadRequest(503))
                 client.next()
             elif not client.busy:
-                client.close()
+                client.close("stopping")
 
     def waiting(self) -> int:
         """Requests that have come whole and wait behind others on their connections."""
@@ -389,6 +390,8 @@
 
     def leave(self) -> None:
         """Nothing more comes or goes."""
+        if not self.shut:
+            event("client_left", connection=self.descriptor, request=self.request_id)
         self.ended = self.shut = True
         self.listener.left(self)
         self.listener.paused.pop(self.descriptor, None)
@@ -401,15 +404,16 @@
             request_id, self.request_id = self.request_id, 0
             self.listener.handler.withdraw(request_id)
 
-    def close(self) -> None:
+    def close(self, cause: str) -> None:
         """End it between requests, or in one that will never be whole."""
         self.stop_body()
-        self.hang_up()
+        self.hang_up(cause)
 
-    def hang_up(self) -> None:
+    def hang_up(self, cause: str) -> None:
         """No answer goes out from here on. What still comes can get none, so none of it is taken."""
         if self.shut:
             return
+        event("client_closed", connection=self.descriptor, cause=cause)
         self.ended = self.shut = True
         self.waiting.clear()
         self.crowded = self.held = False
@@ -484,7 +488,7 @@
             self.withdraw()  # first: a body that breaks off is no failure of a server
         self.stop_body()
         if self.ended:  # what is wrong came after the last answer
-            self.hang_up()
+            self.hang_up("malformed_after_last_answer")
             return
         self.ended = True
         if upload is not None and upload.answered:
@@ -540,7 +544,7 @@
             self.stop_reading(BadRequest(408))
             self.next()
         else:
-            self.close()
+            self.close("no_request_in_time")
 
     def on_url(self, url: bytes) -> None:
         self.url += url
@@ -623,7 +627,7 @@
         self.hold_upload(False)
         if upload.answered:
             if self.ended:
-                self.hang_up()
+                self.hang_up("last_answer")
             elif not self.busy and not self.waiting:
                 self.rest()
         elif self.uploader:
@@ -646,7 +650,7 @@
         head = b"%b %b HTTP/1.1\r\n%b" % (method, url, b"".join(headers.lines))
         self.listener.proven(self)
         return ClientRequest(
-            message=Message(head, bytes(self.body), method == b"POST"),
+            message=Message(head, bytes(self.body), method == b"POST", request_id=headers.request_id or b""),
             cls=cls,
             tenant=tenant,
             key=key,
@@ -739,6 +743,7 @@
         """The rest of the answer never comes, and the client has to see that."""
         self.request_id = 0
         self.ended = True
+        event("client_reset", connection=self.descriptor, cause="answer_broke_off")
         reset(self.transport)
 
     def pause_writing(self) -> None:
@@ -771,7 +776,7 @@
         """Nothing is under way: the connection is idle."""
         self.listener.partial.pop(self, None)
         if self.listener.handler.draining:
-            self.close()
+            self.close("draining")
         else:
             self.listener.idle[self] = self.listener.loop.time()
 
@@ -783,4 +788,4 @@
         self.read_or_not()
         if self.upload is None:  # else once what still comes of a body is read, so that the answer is seen
             self.stop_body()
-            self.hang_up()
+            self.hang_up("last_answer")
--- a/badgercart/config.py
+++ b/badgercart/config.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import json
+import logging
 from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
+from badgercart.eventlog import LEVELS
 from cottonhall.interface import Settings
 from cottonhall.wire import WireError, read_settings
 
@@ -37,6 +39,7 @@
     zones: dict[str, int]
     dial_timeout: float  # ms
     idle_timeout: float  # ms after which a server closes a connection that carries nothing
+    log_level: int = logging.INFO  # DEBUG: also a line for each attempt, answer and closed connection
 
 
 def parse_address(text: str) -> Address:
@@ -86,9 +89,17 @@
             zones={name: i for i, name in enumerate(settings.get("Azs", ()))},
             dial_timeout=float(allowed["DialTimeout"]),
             idle_timeout=float(allowed["ConnIdle"]),
+            log_level=read_log_level(environ.get("ROUTER_LOG_LEVEL") or raw.get("log_level") or "info"),
         )
 
 
+def read_log_level(text: Any) -> int:
+    level = LEVELS.get(str(text).lower())
+    if level is None:
+        raise ValueError(f"log_level is {text!r}, not one of {', '.join(LEVELS)}")
+    return level
+
+
 def read_discovery(path: str) -> Address:
     """Where discovery is now. Only the file can tell: the variables are those of the start."""
     with _plain_errors(path):
--- a/badgercart/discovery.py
+++ b/badgercart/discovery.py
@@ -6,6 +6,7 @@
 import json
 import logging
 import random
+import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
 from typing import Any
@@ -116,6 +117,7 @@
         self.version: int | None = None  # of the list in force; None: the whole list is wanted
         self.retry = RETRY_FIRST
         self.failing = False
+        self.answered: float | None = None  # when the call under way was first answered, monotonic s
 
     def move(self, address: Address) -> None:
         """The next call goes there. What failed at the old address is no reason to wait."""
@@ -140,14 +142,36 @@
             self.retry = min(2 * self.retry, RETRY_MOST)
 
     async def call(self, path: str, whole: bool) -> None:
+        """One call, and a line about how it ended."""
         host, port = self.address
-        async with asyncio.timeout(CALL_TIME):
-            reader, writer = await asyncio.open_connection(host, port)
+        begun = time.monotonic()
+        self.answered = None
+        ended = "cancelled"
         try:
-            writer.write(f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
-            await (self.read_whole(reader) if whole else self.read_watch(reader))
+            async with asyncio.timeout(CALL_TIME):
+                reader, writer = await asyncio.open_connection(host, port)
+            try:
+                writer.write(f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
+                await (self.read_whole(reader) if whole else self.read_watch(reader))
+                ended = "complete"
+            finally:
+                writer.close()
+        except Exception as error:
+            ended = str(error) or type(error).__name__
+            raise
         finally:
-            writer.close()
+            # What became of each call, and when: the age of the list in force can be told from these lines.
+            now = time.monotonic()
+            first = self.answered_after(begun)
+            log.info(
+                "discovery: GET %s at %s:%d ended (%s) after %.3f s, first answered %s",
+                path,
+                host,
+                port,
+                ended,
+                now - begun,
+                first,
+            )
 
     async def read_whole(self, reader: asyncio.StreamReader) -> None:
         body = Body()
@@ -174,11 +198,20 @@
                 within = PART_TIME
             elif body.data:
                 within, self.retry, self.failing = SILENCE, RETRY_FIRST, False
+                self.heard()
                 self.on_current()  # also by an empty line: nothing has changed
             body.data.clear()
         raise DiscoveryError("the watch ended")
 
+    def answered_after(self, begun: float) -> str:
+        return "never" if self.answered is None else f"after {self.answered - begun:.3f} s"
+
+    def heard(self) -> None:
+        if self.answered is None:
+            self.answered = time.monotonic()
+
     def take(self, value: Any) -> None:
+        self.heard()
         self.version = self.on_list(value)
         self.retry, self.failing = RETRY_FIRST, False
 
--- /dev/null
+++ b/badgercart/eventlog.py
@@ -0,0 +1,32 @@
+"""Log lines about single requests, attempts and connections: `event=NAME key=value ...`.
+
+They are written at the level DEBUG, which `log_level` in the configuration or ROUTER_LOG_LEVEL asks for. At
+the usual level a call costs one comparison.
+"""
+
+from __future__ import annotations
+
+import logging
+
+LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING, "error": logging.ERROR}
+
+log = logging.getLogger("badgercart.events")
+
+
+def event(name: str, **fields: object) -> None:
+    """Write one line, if lines about single events are wanted."""
+    if log.isEnabledFor(logging.DEBUG):
+        pairs = [f"{key}={text(value)}" for key, value in fields.items()]
+        log.debug("%s", " ".join([f"event={name}", *pairs]))
+
+
+def text(value: object) -> str:
+    """A value as it stands in a line: without white space, fractions to three places."""
+    if isinstance(value, float):
+        return f"{value:.3f}"
+    if isinstance(value, bytes):
+        value = value.decode("latin-1")
+    words = str(value)
+    if not words.isprintable() or not words or any(c in ' "=' for c in words):
+        return '"' + words.encode("unicode_escape").decode().replace('"', '\\"') + '"'
+    return words
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -22,6 +22,7 @@
 from badgercart.clients import LEAST_RATE, ClientConnection, ClientRequest, Listener, stable_id
 from badgercart.config import Address, Config, parse_address
 from badgercart.discovery import Discovery
+from badgercart.eventlog import event as log_event
 from badgercart.figures import Figures, ServerFigures
 from badgercart.handover import Handover, Shared
 from badgercart.servers import Answer, Attempt, Message, ServerPool, now_ms
@@ -173,11 +174,19 @@
         self.pool.limit(action.id, action.attempt, action.limit)
 
     def refuse(self, action: Refuse) -> None:
+        self.log_final("refused", action)
         self.answer(action.id, 503, b"Retry-After: %.3f\r\n" % (action.wait / 1000) if action.wait else b"")
 
     def fail(self, action: Fail) -> None:
+        self.log_final("failed", action)
         self.answer(action.id, 502)
 
+    def log_final(self, name: str, action: Refuse | Fail) -> None:
+        held = self.held.get(action.id)
+        if held is not None:
+            client_id = held.message.request_id
+            log_event(name, request=client_id, cause=action.cause.value, attempts=held.sends)
+
     def answer(self, request_id: int, status: int, extra: bytes = b"") -> None:
         held = self.release(request_id)
         if held is not None:
@@ -258,6 +267,15 @@
             self.figures.ended(held.cls, 200)
             held.client.answer(200, answer.body, answer.content_type)
         over, elapsed = request_id not in self.held, now_ms() - attempt.started
+        log_event(
+            "attempt_ended",
+            request=attempt.message.request_id,
+            attempt=attempt.number,
+            endpoint=attempt.server.id,
+            result=result.name.lower(),
+            written=attempt.written,
+            ms=elapsed,
+        )
         if held is not None and result is not Result.CANCELLED:
             self.by_server.ended(attempt.server.id, held.cls, result, elapsed)
         upload = attempt.message.upload
--- a/badgercart/servers.py
+++ b/badgercart/servers.py
@@ -13,6 +13,7 @@
 
 from badgercart.bodies import LEAST, WHOLE, Room, Upload
 from badgercart.config import Address
+from badgercart.eventlog import event
 from badgercart.figures import Figures
 from badgercart.framing import cut, unread
 from cottonhall.interface import Result, State
@@ -30,6 +31,8 @@
     3.0,
     0.2,
 )  # resets, and how much more often than others, that tell
+# Why a connection is closed at once, whatever its buffer holds.
+RESET_CAUSES = frozenset({"bytes_unasked", "makes_room", "came_up_late", "endpoint_changed_while_connecting"})
 FORGET = 5  # sweeps after which what was seen counts half
 
 log = logging.getLogger("badgercart")
@@ -47,6 +50,7 @@
     body: bytes
     post: bool = False  # has a body, maybe an empty one
     upload: Upload | None = None  # what the body comes from where it is not held whole
+    request_id: bytes = b""  # the client's, for the log
 
 
 @dataclass(slots=True)
@@ -183,6 +187,13 @@
         if attempt is not None:
             self.pool.end(attempt, result)
 
+    def close(self, cause: str) -> None:
+        event("upstream_closed", endpoint=self.server.id, cause=cause)
+        if cause in RESET_CAUSES:
+            self.transport.abort()
+        else:
+            self.transport.close()
+
     def leave(self) -> Attempt | None:
         """Nothing is under way here from now on."""
         attempt, self.attempt = self.attempt, None
@@ -203,6 +214,13 @@
     def start(self, attempt: Attempt) -> None:
         self.attempt = attempt
         attempt.connection = self
+        event(
+            "attempt_sent",
+            request=attempt.message.request_id,
+            attempt=attempt.number,
+            endpoint=self.server.id,
+            reused=self.idled is not None,
+        )
         self.complete = self.answering = self.headed = self.held = False
         self.size, self.length, self.coding = 0, None, b""
         left = max(1, int(attempt.deadline - now_ms()))
@@ -267,7 +285,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         if self.attempt is None:  # nothing was asked: what comes next on it could pass for an answer
-            self.transport.abort()
+            self.close("bytes_unasked")
             return
         self.answering = True
         self.heard = now_ms()
@@ -305,7 +323,7 @@
         if self.complete and self.keep and whole and not self.stray:
             self.pool.park(self, now_ms())
         else:
-            self.transport.close()
+            self.close("answer_ends_connection" if whole else "answered_early")
         if status == 200:
             result = Result.OK
         elif status in (503, 504) and self.not_started:
@@ -461,7 +479,7 @@
         """Use no connection to it that is open or on its way: what was decided before goes elsewhere."""
         server.version += 1
         for connection in server.idle:
-            connection.transport.close()
+            connection.close("endpoint_changed")
         server.idle.clear()
         for attempt in list(self.attempts.values()):
             if attempt.server is server and attempt.connection is None:
@@ -503,7 +521,7 @@
         fresh = connection.version == attempt.version == attempt.server.version and idled < self.keep_idle.ms
         closing = connection.transport.is_closing()
         if not fresh or closing or now >= attempt.latest or connection.unread.poll(0):
-            connection.transport.close()
+            connection.close("stale")
             return False
         connection.idled = idled
         connection.start(attempt)
@@ -537,7 +555,7 @@
         # Meanwhile the server may have begun to drain or come back elsewhere: then it gets nothing.
         changed = attempt.version != server.version
         if changed or connection.transport.is_closing() or now_ms() >= attempt.latest:
-            connection.transport.abort()
+            connection.close("endpoint_changed_while_connecting" if changed else "came_up_late")
             self.end(attempt, Result.UNREACHABLE)
         else:
             # Counted from here, not from connection_made: a dial that is cancelled just as it comes up is
@@ -554,7 +572,7 @@
         for server in self.servers.values():
             if server.idle:
                 connection = server.idle.pop(0)
-                connection.transport.abort()
+                connection.close("makes_room")
                 self.connections.discard(connection)
                 return True
         return False
@@ -563,7 +581,7 @@
         """Keep a connection for the next attempt, if its server still is the one it was opened to."""
         server = connection.server
         if connection.version != server.version or server.state is not State.READY:
-            connection.transport.close()
+            connection.close("endpoint_changed")
             return
         connection.idle_since = since
         idle = server.idle
@@ -578,7 +596,7 @@
         before = now_ms() - self.keep_idle.ms
         for server in self.servers.values():
             while server.idle and server.idle[0].idle_since < before:
-                server.idle.pop(0).transport.close()
+                server.idle.pop(0).close("idle")
         silent = now_ms() - 1000 * SILENCE
         for connection in [attempt.connection for attempt in self.attempts.values() if attempt.streaming]:
             if connection is not None and not connection.held and connection.heard < silent:
--- a/cottonhall/interface.py
+++ b/cottonhall/interface.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum, IntEnum
 
 
@@ -260,6 +260,17 @@
 # Actions: what the module decides.
 
 
+class Cause(Enum):
+    """Why a request gets no answer of a server, for the log."""
+
+    UNKNOWN = "unknown"
+    OVERLOAD = "overload"  # its score is under the cut
+    NO_TIME = "no_time"  # no server can answer it in time any more
+    ATTEMPTS = "attempts"  # it has had as many as it may have
+    NO_ENDPOINT = "no_endpoint"  # none may get it now
+    NOT_REPEATED = "not_repeated"  # a further attempt would feed the overload, or its body is gone
+
+
 @dataclass(slots=True)
 class Send:
     id: int
@@ -283,6 +294,7 @@
 
     id: int
     wait: float  # how long the client should stay away; 0: no advice
+    cause: Cause = field(default=Cause.UNKNOWN, compare=False)
 
 
 @dataclass(slots=True)
@@ -290,6 +302,7 @@
     """Final answer: failed, nothing promised."""
 
     id: int
+    cause: Cause = field(default=Cause.UNKNOWN, compare=False)
 
 
 @dataclass(slots=True)
--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -13,10 +13,36 @@
 from dataclasses import dataclass, field, replace
 
 from cottonhall.interface import (
-    MAY_RUN_ON, NEVER_RAN, Action, Began, Cancel, Cordon, Effect, Event, Fail, Group, Limit, ListKind, Log,
-    Outcome, Refuse, Request, Result, Send, ServerEntry, ServerList, Settings, State, Subscribe, Timer,
-    Uncordon, Uploaded, Wake, Withdrawn,
-)  # fmt: skip
+    MAY_RUN_ON,
+    NEVER_RAN,
+    Action,
+    Began,
+    Cancel,
+    Cause,
+    Cordon,
+    Effect,
+    Event,
+    Fail,
+    Group,
+    Limit,
+    ListKind,
+    Log,
+    Outcome,
+    Refuse,
+    Request,
+    Result,
+    Send,
+    ServerEntry,
+    ServerList,
+    Settings,
+    State,
+    Subscribe,
+    Timer,
+    Uncordon,
+    Uploaded,
+    Wake,
+    Withdrawn,
+)
 
 UPKEEP = 50.0  # ms between refreshes of shares and overload; far below any aim
 SHARE_HALF = 5000.0  # ms after which counts of offered work and keys are halved
@@ -225,7 +251,7 @@
             self.keys_total += 1
         score = self.bands[group][0] + self.bands[group][1] * self.random.random()
         if score < self.cut:
-            self.out.append(Refuse(request.id, self.refuse_wait(score)))
+            self.out.append(Refuse(request.id, self.refuse_wait(score), Cause.OVERLOAD))
             return
         job = self.jobs[request.id] = Job(request, self.now, score)
         if request.key and settings.classes[request.cls].in_order:
@@ -346,8 +372,11 @@
             until = latest if ahead or turn.out else min(latest, turn.rest_until)
             self.out.append(Wake(until - self.now, request.id))
             return
-        if not timely or (server := self.pick(job)) is None:
-            self.end(job)
+        if not timely:
+            self.end(job, Cause.NO_TIME if job.tries < self.settings.max_attempts else Cause.ATTEMPTS)
+            return
+        if (server := self.pick(job)) is None:
+            self.end(job, Cause.NO_ENDPOINT)
             return
         if server.entry.id in self.untried:
             self.untried.remove(server.entry.id)
@@ -540,7 +569,7 @@
             or outcome.result == Result.TIMEOUT
             or self.random.random() < max(self.x, self.no_link)
         ):
-            self.end(job)  # resending feeds a jam, also of connections being made
+            self.end(job, Cause.NOT_REPEATED)  # resending feeds a jam, also of connections being made
         else:
             self.attempt(job)
 
@@ -634,12 +663,13 @@
                     rest = REST * 2 ** min(health.strikes, 4) * (0.75 + 0.5 * self.random.random())
                     health.rest_until, health.strikes = self.now + rest, health.strikes + 1
 
-    def end(self, job: Job) -> None:
+    def end(self, job: Job, cause: Cause) -> None:
         """The final answer without an open attempt: refused where that does no harm, else failed."""
         cls = self.settings.classes[job.request.cls]
         safe = cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL)
         wait, number = self.refuse_wait(job.score), job.request.id
-        self.out.append(Refuse(number, wait) if safe or not job.maybe_ran else Fail(number))
+        harmless = safe or not job.maybe_ran
+        self.out.append(Refuse(number, wait, cause) if harmless else Fail(number, cause))
         self.finish(number)
 
     def finish(self, job_id: int) -> None:
--- /dev/null
+++ b/tests/test_eventlog.py
@@ -0,0 +1,81 @@
+"""What the log tells of requests, attempts, closed connections and calls to discovery."""
+
+from __future__ import annotations
+
+import logging
+import re
+
+import pytest
+
+from badgercart.config import read_log_level
+from badgercart.eventlog import event, text
+from tests.net import Peer, answer, request, running
+from tests.test_node import run
+
+
+@pytest.mark.parametrize(
+    ("value", "written"),
+    [
+        (1, "1"),
+        (0.12345, "0.123"),
+        (b"9b1f", "9b1f"),
+        ("", '""'),
+        ('a "b"', '"a \\"b\\""'),
+        ("a\nb", '"a\\nb"'),
+    ],
+)
+def test_a_value_is_one_word(value: object, written: str) -> None:
+    assert text(value) == written
+
+
+def test_lines_about_single_events_are_written_only_when_asked_for(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.INFO, "badgercart.events")
+    event("attempt_sent", request=b"a1")
+    assert not caplog.records
+    caplog.set_level(logging.DEBUG, "badgercart.events")
+    event("attempt_sent", request=b"a1")
+    assert caplog.messages == ["event=attempt_sent request=a1"]
+
+
+@pytest.mark.parametrize(("words", "level"), [("debug", logging.DEBUG), ("INFO", logging.INFO)])
+def test_a_log_level_is_a_name(words: str, level: int) -> None:
+    assert read_log_level(words) == level
+
+
+def test_an_unknown_log_level_is_told_with_those_there_are() -> None:
+    with pytest.raises(ValueError, match="'loud', not one of debug, info, warning, error"):
+        read_log_level("loud")
+
+
+FULL = b"HTTP/1.1 503 Service Unavailable\r\nNot-Started: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+
+def test_one_request_can_be_followed_from_its_send_to_its_refusal(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.DEBUG, "badgercart.events")
+
+    async def test() -> None:
+        async with running(await Peer(answer(FULL)).start()) as stand:
+            client = await stand.client()
+            assert (await client.ask(request(Request_Id="9b1f03aa5c7e2d41")))[0] == 503
+
+    run(test())
+    lines = [line for line in caplog.messages if "9b1f03aa5c7e2d41" in line or "upstream_closed" in line]
+    names = [match[1] for line in lines if (match := re.match(r"event=(\w+)", line))]
+    assert names == ["attempt_sent", "upstream_closed", "attempt_ended", "refused"]
+    assert "result=full" in lines[2] and "cause=attempts" in lines[3]
+
+
+def test_a_call_to_discovery_tells_how_it_ended(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.INFO, "badgercart")
+
+    async def test() -> None:
+        async with running(await Peer().start()) as stand:
+            assert await stand.agent.calls.get()
+            stand.agent.lines.put_nowait(None)
+            assert await stand.agent.calls.get()  # it has ended and is asked anew
+
+    run(test())
+    assert any(
+        re.search(r"GET /catalog/members\?watch=1&from=1 .* ended \(.+\) after [\d.]+ s", line)
+        for line in caplog.messages
+    )
