--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -512,6 +512,24 @@
     run(test())
 
 
+def test_a_retry_may_go_to_an_endpoint_that_the_same_list_adds() -> None:
+    async def test() -> None:
+        door, peer = Door(), Peer()
+        peer.port = door.port
+        added = await Peer().start()
+        async with running(peer, attempts=2) as stand:
+            stand.node.policy.random.random = lambda: 0.99  # type: ignore[method-assign]  # no draw ends it
+            client = await stand.client()
+            asking = asyncio.create_task(client.ask(request("pay")))
+            await until(lambda: stand.node.pool.dials == 1)
+            stand.agent.push(2, [peer.entry("s-1", "leaving"), added.entry("s-2")])
+            assert (await asking)[0] == 200
+            assert not stand.node.pool.attempts
+        door.close()
+
+    run(test())
+
+
 def test_a_server_that_drains_while_its_connection_rests_gets_nothing() -> None:
     async def test() -> None:
         peer = await Peer().start()
