Route by a list only while nothing it can't know of counts as told; read entries one by one

No part of the program knew how old the list was: a list with one bad entry was refused whole and for ever (node.take_list), a slow call was given up after 4.5 s and asked anew from the end of the line, and a process served by an old list before discovery had answered. A list of a lower version took drains back, and a retry to an endpoint new in the same list ended as 500 (pool told after the module).

--- a/badgercart/discovery.py
+++ b/badgercart/discovery.py
@@ -6,7 +6,6 @@
 import json
 import logging
 import random
-import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
 from typing import Any
@@ -14,13 +13,21 @@
 import httptools
 
 from badgercart.config import Address
+from cottonhall.interface import Reach
 
 PATH = "/catalog/members"
 BEAT = 2.0  # s between the empty lines of a watch that has nothing to tell
 # A change counts as told 6 s after its watch fell silent, though it never arrived. So a watch that has said
-# nothing for this long, in s, is opened anew: not for a slow line, and in time for a call that has to wait.
-SILENCE = BEAT + 1.0
-ANSWER_TIME = 4.5  # s for the first of an answer: calls of many nodes wait for one another
+# nothing for this long, in s, is opened anew: not for a line that comes a little late, and in time for a call
+# that waits 3 s for its turn.
+SILENCE = BEAT + 0.5
+ANSWER_TIME = (
+    10.0  # s for the first of an answer. Calls of many nodes wait for one another, and who gives one
+)
+# up waits from the end of the line again.
+SECOND_CALL = 3.5  # s without an answer after which a second call is made beside the first: that may be lost
+WAITING = 0.3  # s without an answer after which discovery, which has taken the connection, lets the call wait
+DOWN_WITHIN = 1.0  # s in which a call fails that finds discovery down; one that has waited takes longer
 CALL_TIME = 2.0  # s for a connection to come up
 PART_TIME = 2.0  # s without a byte of a list that has come in part after which it is fetched whole
 RETRY_FIRST, RETRY_MOST = 0.05, 1.0  # s between tries
@@ -33,6 +40,10 @@
     """A call that gave no list, or a watch that ended: what came instead."""
 
 
+class MalformedListError(DiscoveryError):
+    """What came can't be read as a list."""
+
+
 class Objects:
     """Takes the objects out of a watch: each on a line of its own or, indented, on several."""
 
@@ -100,83 +111,75 @@
             raise DiscoveryError("a line over the limit")
 
 
-class Discovery:
-    """Keeps the list fresh. `on_list` gets each one, raw, and raises ValueError at what it can't take."""
-
-    def __init__(
-        self,
-        address: Address,
-        on_list: Callable[[dict[str, Any]], int],
-        on_current: Callable[[], None],
-        rng: random.Random,
-    ) -> None:
-        self.address = address
-        self.on_list = on_list
-        self.on_current = on_current  # the list in force is discovery's own
-        self.random = rng
-        self.version: int | None = None  # of the list in force; None: the whole list is wanted
-        self.retry = RETRY_FIRST
-        self.failing = False
-        self.answered: float | None = None  # when the call under way was first answered, monotonic s
+class Call:
+    """One call: a whole list, or a watch until it ends. What it shows of discovery goes to `client`."""
 
-    def move(self, address: Address) -> None:
-        """The next call goes there. What failed at the old address is no reason to wait."""
-        self.address, self.retry, self.failing = address, RETRY_FIRST, False
+    def __init__(self, client: Discovery, whole: bool) -> None:
+        self.client = client
+        self.whole = whole
+        self.path = PATH if whole else f"{PATH}?watch=1&from={client.version}"
+        self.begun = client.loop.time()
+        self.connected = False
+        self.heard = False  # a part of an answer has come
+        self.answered_at: float | None = None  # when the first list or empty line came, by the loop's clock
+        self.waiting: asyncio.TimerHandle | None = None
 
     async def run(self) -> None:
-        while True:
-            try:
-                if self.version is None:
-                    await self.call(PATH, whole=True)
-                await self.call(f"{PATH}?watch=1&from={self.version}", whole=False)
-            except (OSError, DiscoveryError, httptools.HttpParserError) as error:
-                if not self.failing:  # one line for each stretch of failures
-                    log.warning("discovery: %s; the list stays as it is", str(error) or type(error).__name__)
-                self.failing = True
-            except Exception:
-                # Whatever it was: a watch that dies of it would leave the node with its old list for ever.
-                log.exception("discovery: unforeseen failure; the whole list is fetched")
-                self.version = None
-            # Nodes that lost discovery together must not come back together.
-            await asyncio.sleep(self.retry * (0.5 + self.random.random()))
-            self.retry = min(2 * self.retry, RETRY_MOST)
-
-    async def call(self, path: str, whole: bool) -> None:
-        """One call, and a line about how it ended."""
-        host, port = self.address
-        begun = time.monotonic()
-        self.answered = None
+        """DiscoveryError says how it ended, unless it was a whole list that came."""
         ended = "cancelled"
         try:
-            async with asyncio.timeout(CALL_TIME):
-                reader, writer = await asyncio.open_connection(host, port)
-            try:
-                writer.write(f"GET {path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
-                await (self.read_whole(reader) if whole else self.read_watch(reader))
-                ended = "complete"
-            finally:
-                writer.close()
-        except Exception as error:
+            await self.exchange()
+            ended = "complete"
+        except (OSError, DiscoveryError, httptools.HttpParserError) as error:
             ended = str(error) or type(error).__name__
-            raise
+            self.client.on_reach(self.reach_at_end(error))
+            raise DiscoveryError(ended) from None
         finally:
-            # What became of each call, and when: the age of the list in force can be told from these lines.
-            now = time.monotonic()
-            first = self.answered_after(begun)
-            log.info(
-                "discovery: GET %s at %s:%d ended (%s) after %.3f s, first answered %s",
-                path,
-                host,
-                port,
-                ended,
-                now - begun,
-                first,
-            )
+            if self.waiting is not None:
+                self.waiting.cancel()
+            self.log_end(ended)
+
+    def reach_at_end(self, error: Exception) -> Reach:
+        """What the end of a call tells of discovery. One that can't be understood is as good as down."""
+        timed_out = isinstance(error, TimeoutError)
+        if self.answered_at is not None:
+            return Reach.SILENT if timed_out else Reach.INTERRUPTED
+        if isinstance(error, MalformedListError):
+            return Reach.UNREACHABLE
+        if self.heard:
+            return Reach.INTERRUPTED
+        quick = self.client.loop.time() - self.begun < DOWN_WITHIN
+        return Reach.UNREACHABLE if timed_out or quick or not self.connected else Reach.INTERRUPTED
+
+    def log_end(self, ended: str) -> None:
+        """When a call began and what became of it: the age of the list in force follows from these lines."""
+        first = "never" if self.answered_at is None else f"after {self.answered_at - self.begun:.3f} s"
+        log.info(
+            "discovery: GET %s at %s:%d ended (%s) after %.3f s, first answered %s",
+            self.path,
+            *self.client.address,
+            ended,
+            self.client.loop.time() - self.begun,
+            first,
+        )
+
+    async def exchange(self) -> None:
+        host, port = self.client.address
+        async with asyncio.timeout(CALL_TIME):
+            reader, writer = await asyncio.open_connection(host, port)
+        self.connected = True
+        self.waiting = self.client.loop.call_later(WAITING, self.client.on_reach, Reach.INTERRUPTED)
+        try:
+            writer.write(f"GET {self.path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
+            await (self.read_whole(reader) if self.whole else self.read_watch(reader))
+        finally:
+            writer.close()
 
     async def read_whole(self, reader: asyncio.StreamReader) -> None:
         body = Body()
         while not body.complete:
             await body.more(reader, ANSWER_TIME)
+            self.heard = True
         with self.malformed():
             self.take(json.loads(body.data))
 
@@ -187,8 +190,9 @@
                 await body.more(reader, within)
             except TimeoutError:
                 if objects.begun:
-                    self.version = None  # what the rest would have told is missed
+                    self.client.version = None  # what the rest would have told is missed
                 raise
+            self.heard = True
             with self.malformed():
                 for value in objects.feed(bytes(body.data)):
                     self.take(value)
@@ -197,23 +201,29 @@
             if objects.begun:
                 within = PART_TIME
             elif body.data:
-                within, self.retry, self.failing = SILENCE, RETRY_FIRST, False
-                self.heard()
-                self.on_current()  # also by an empty line: nothing has changed
+                within = SILENCE
+                self.confirmed()  # also by an empty line: nothing has changed
             body.data.clear()
         raise DiscoveryError("the watch ended")
 
-    def answered_after(self, begun: float) -> str:
-        return "never" if self.answered is None else f"after {self.answered - begun:.3f} s"
-
-    def heard(self) -> None:
-        if self.answered is None:
-            self.answered = time.monotonic()
-
     def take(self, value: Any) -> None:
-        self.heard()
-        self.version = self.on_list(value)
-        self.retry, self.failing = RETRY_FIRST, False
+        client = self.client
+        client.version = client.on_list(value, self.whole)
+        if self.whole or client.version is not None:
+            self.confirmed()
+        if client.version is None:
+            raise DiscoveryError("the list is incomplete")
+
+    def confirmed(self) -> None:
+        """What the node has is what discovery has."""
+        if self.answered_at is None:
+            self.answered_at = self.client.loop.time()
+            if self.waiting is not None:
+                self.waiting.cancel()
+            self.client.answered(self)
+        if self.client.version is not None:
+            self.client.retry, self.client.failing = RETRY_FIRST, False
+        self.client.on_reach(Reach.CONFIRMED)
 
     @contextmanager
     def malformed(self) -> Iterator[None]:
@@ -221,5 +231,92 @@
         try:
             yield
         except (ValueError, RecursionError) as error:
-            self.version = None
-            raise DiscoveryError(f"malformed list: {error}") from None
+            self.client.version = None
+            raise MalformedListError(f"malformed list: {error}") from None
+
+
+class Discovery:
+    """Keeps the list fresh.
+
+    `on_list` gets each list, raw, and whether it was asked for as a whole one. It returns the list's version,
+    None if that can't be read, and raises ValueError at what is no list. `on_reach` hears how the connection
+    to discovery stands.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        on_list: Callable[[Any, bool], int | None],
+        on_reach: Callable[[Reach], None],
+        rng: random.Random,
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
+        self.address = address
+        self.on_list = on_list
+        self.on_reach = on_reach
+        self.random = rng
+        self.loop = loop
+        self.version: int | None = None  # of the list in force; None: the whole list is wanted
+        self.retry = RETRY_FIRST
+        self.failing = False
+        self.calls: dict[asyncio.Task[None], Call] = {}  # under way
+        self.one_answers = False
+
+    def move(self, address: Address) -> None:
+        """The next call goes there. What failed at the old address is no reason to wait."""
+        self.address, self.retry, self.failing = address, RETRY_FIRST, False
+        for task in self.calls:
+            task.cancel()  # what still comes from the old address confirms nothing
+        self.on_reach(Reach.MOVED)
+
+    async def run(self) -> None:
+        while True:
+            try:
+                await self.follow()
+                continue
+            except DiscoveryError as error:
+                if not self.failing:  # one line for each stretch of failures
+                    log.warning("discovery: %s; the list stays as it is", error)
+                self.failing = True
+            except Exception:
+                # Whatever it was: a watch that dies of it would leave the node with its old list for ever.
+                log.exception("discovery: unforeseen failure; the whole list is fetched")
+                self.version = None
+            # Nodes that lost discovery together must not come back together.
+            await asyncio.sleep(self.retry * (0.5 + self.random.random()))
+            self.retry = min(2 * self.retry, RETRY_MOST)
+
+    async def follow(self) -> None:
+        """Fetch the whole list, or watch until the watch ends; with a second call beside one that hangs."""
+        self.one_answers = False
+        self.begin_call()
+        second = False
+        failure: BaseException | None = None
+        try:
+            while self.calls:
+                within = None if second or self.one_answers else SECOND_CALL
+                done, _ = await asyncio.wait(self.calls, timeout=within, return_when=asyncio.FIRST_COMPLETED)
+                if not done and not self.one_answers:
+                    second = True
+                    self.begin_call()
+                for task in done:
+                    del self.calls[task]
+                    if not task.cancelled():
+                        failure = task.exception()
+        finally:
+            for task in self.calls:
+                task.cancel()
+            self.calls.clear()
+        if failure is not None:
+            raise failure
+
+    def begin_call(self) -> None:
+        call = Call(self, self.version is None)
+        self.calls[self.loop.create_task(call.run())] = call
+
+    def answered(self, answering: Call) -> None:
+        """One call is answered: the others are of no more use."""
+        self.one_answers = True
+        for task, call in self.calls.items():
+            if call is not answering:
+                task.cancel()
--- /dev/null
+++ b/badgercart/memberlist.py
@@ -0,0 +1,195 @@
+"""Reads discovery's lists: each entry for itself, so that one that can't be read costs no other."""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from badgercart.config import Address, parse_address
+from cottonhall.interface import ListKind, ServerEntry, State
+from cottonhall.membership import Membership
+
+STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
+MAX_TOLD = 1024  # faults that are remembered so that each is logged once
+
+log = logging.getLogger("badgercart")
+
+
+@dataclass(slots=True, frozen=True)
+class Endpoint:
+    """One entry of the list: what the decisions need of it, and how it is reached and named."""
+
+    entry: ServerEntry
+    address: Address
+    name: str
+
+
+@dataclass(slots=True)
+class MemberList:
+    """A list as far as it could be read."""
+
+    kind: ListKind
+    version: int | None  # None: the whole list has to be fetched anew
+    endpoints: list[Endpoint]
+
+
+@dataclass(slots=True)
+class _Fault:
+    """A field that can't be read."""
+
+    name: str
+    key: str
+    value: object
+
+
+@dataclass
+class MemberListReader:
+    """Turns discovery's JSON into endpoints, with the names of the settings as numbers."""
+
+    zones: dict[str, int]
+    kinds: dict[str, int]
+    unix_offset: float  # Unix time in ms less the monotonic clock
+    now: Callable[[], float]  # the monotonic clock in ms
+    stable_id: Callable[[bytes], int]
+    membership: Membership = field(default_factory=Membership)
+    known: dict[int, Endpoint] = field(default_factory=dict)
+    told: OrderedDict[str, None] = field(default_factory=OrderedDict)  # faults that were logged
+
+    def read(self, raw: Any, kind: ListKind | None) -> MemberList:
+        """Read a list; `kind` is None for a line of a watch, which says itself whether it is whole.
+
+        A line of a watch without a version, or with an entry that names nobody, may leave out what it meant
+        to tell: what can be read of it holds, and the version is None. ValueError if it is no list at all.
+        """
+        if not isinstance(raw, dict) or not isinstance(raw.get("instances"), list):
+            raise ValueError("no object with instances")
+        of_watch = kind is None
+        if kind is None:
+            reset = raw.get("reset")
+            if not isinstance(reset, bool):
+                raise ValueError(f"reset is {reset!r}")
+            kind = ListKind.FULL if reset else ListKind.DELTA
+        version = raw.get("generation")
+        if isinstance(version, bool) or not isinstance(version, int):
+            self._log(_Fault("the list", "generation", version))
+            version = None
+        lines = raw["instances"]
+        if of_watch and (version is None or not all(map(self._named, lines))):
+            kind, version = ListKind.DELTA, None
+        endpoints = [found for line in lines if (found := self._endpoint(line)) is not None]
+        # Of entries that name one endpoint twice the last one counts.
+        latest = {endpoint.entry.id: endpoint for endpoint in endpoints}
+        return MemberList(kind, version, self._resolve(kind, version, list(latest.values())))
+
+    def _resolve(self, kind: ListKind, version: int | None, endpoints: list[Endpoint]) -> list[Endpoint]:
+        entries = [endpoint.entry for endpoint in endpoints]
+        resolved = self.membership.resolve(kind, version, entries)
+        endpoints = [
+            Endpoint(entry, endpoint.address, endpoint.name)
+            for entry, endpoint in zip(resolved, endpoints, strict=True)
+        ]
+        for endpoint in endpoints:
+            self.known[endpoint.entry.id] = endpoint
+        self.known = {i: self.known[i] for i in self.membership.listed}
+        return endpoints
+
+    def _named(self, line: Any) -> bool:
+        """Whether an entry says whom it is about."""
+        if not isinstance(line, dict):
+            self._log(_Fault("an entry", "it", line))
+            return False
+        name = line.get("instanceId")
+        if isinstance(name, str) and name:
+            return True
+        self._log(_Fault("an entry", "instanceId", name))
+        return False
+
+    def _endpoint(self, line: Any) -> Endpoint | None:
+        """One entry; None if it says nothing that can be used.
+
+        What tells who it is and whether it drains is enough. The rest falls back on what was known.
+        """
+        if not self._named(line):
+            return None
+        name = line["instanceId"]
+        endpoint_id = self.stable_id(name.encode("utf-8", "surrogatepass"))
+        old = self.known.get(endpoint_id)
+        state = self._state(name, line.get("lifecycle"))
+        if state is None:
+            return old  # it is named, so it has not left
+        address = self._address(name, line.get("hostPort"), old)
+        if address is None:
+            if state is State.READY:
+                return None  # there is no way to it
+            address = ("", 0)
+        entry = ServerEntry(
+            id=endpoint_id,
+            zone=self._number(line.get("zone"), self.zones),
+            kind=self._number(line.get("machineType"), self.kinds),
+            cell=self._cell(name, line.get("cell", -1)),
+            state=state,
+            size=self._size(name, line.get("weight", 1.0), old),
+            started=self._started(name, line.get("startedAtMs", 0), old),
+        )
+        return Endpoint(entry, address, name)
+
+    def _state(self, name: str, word: object) -> State | None:
+        if isinstance(word, str) and word in STATES:
+            return STATES[word]
+        self._log(_Fault(name, "lifecycle", word))
+        return State.DRAINING if isinstance(word, str) else None  # whatever it is in, it is not active
+
+    def _address(self, name: str, text: object, old: Endpoint | None) -> Address | None:
+        try:
+            if isinstance(text, str):
+                return parse_address(text)
+        except ValueError:
+            pass
+        self._log(_Fault(name, "hostPort", text))
+        return None if old is None else old.address
+
+    @staticmethod
+    def _number(name: object, numbers: dict[str, int]) -> int:
+        return numbers.get(name, -1) if isinstance(name, str) else -1
+
+    def _cell(self, name: str, value: object) -> int:
+        if isinstance(value, int) and not isinstance(value, bool):
+            return value
+        self._log(_Fault(name, "cell", value))
+        return -1
+
+    def _size(self, name: str, value: object, old: Endpoint | None) -> float:
+        if _finite(value) and value >= 0:  # type: ignore[operator]  # _finite has seen to that
+            return float(value)  # type: ignore[arg-type]
+        self._log(_Fault(name, "weight", value))
+        return 1.0 if old is None else old.entry.size
+
+    def _started(self, name: str, value: object, old: Endpoint | None) -> float:
+        """On the monotonic clock; 0 for long ago. One that can't be read counts as just now, so as cold."""
+        if _finite(value):
+            return float(value) - self.unix_offset if value else 0.0  # type: ignore[arg-type]
+        self._log(_Fault(name, "startedAtMs", value))
+        return self.now() if old is None else old.entry.started
+
+    def _log(self, fault: _Fault) -> None:
+        words = f"{fault.name}: {fault.key} is {str(fault.value)[:80]!r}"
+        if words in self.told:
+            return
+        self.told[words] = None
+        if len(self.told) > MAX_TOLD:
+            self.told.popitem(last=False)
+        log.warning("discovery: %s; the other entries hold", words)
+
+
+def _finite(value: object) -> bool:
+    """Whether it is a number that can be reckoned with: JSON readers let NaN and huge integers through."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return False
+    try:
+        return math.isfinite(value)
+    except OverflowError:
+        return False
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -20,11 +20,12 @@
 from badgercart.admin import Door, Reply
 from badgercart.bodies import MAX_BODY, Room
 from badgercart.clients import LEAST_RATE, ClientConnection, ClientRequest, Listener, stable_id
-from badgercart.config import Address, Config, parse_address
+from badgercart.config import Address, Config
 from badgercart.discovery import Discovery
 from badgercart.eventlog import event as log_event
 from badgercart.figures import Figures, ServerFigures
 from badgercart.handover import Handover, Shared
+from badgercart.memberlist import Endpoint, MemberList, MemberListReader
 from badgercart.servers import Answer, Attempt, Message, ServerPool, now_ms
 from cottonhall import Policy
 from cottonhall.interface import (
@@ -32,17 +33,18 @@
     Began,
     Cancel,
     Cordon,
+    DiscoveryReach,
     Event,
     Fail,
     Limit,
     ListKind,
     Log,
     Outcome,
+    Reach,
     Refuse,
     Request,
     Result,
     Send,
-    ServerEntry,
     ServerList,
     State,
     Subscribe,
@@ -58,13 +60,14 @@
 MARGIN = 10.0
 SPARE_SOCKETS = 64  # descriptors for listeners, discovery, files, callers, and connections that are closing
 BODIES = 8  # the part of the memory that bodies in hand may take: one in so many
-FIRST_LIST = 1.0  # s that a process with a list from before waits for discovery before it is ready
+FIRST_LIST = 1.0  # s that a process with a list from before waits for a discovery that is down
+START_MOST = 5.0  # s after which it says that it is ready, whatever discovery does
 ACCEPT_FOR = 0.6  # s after SIGTERM during which new connections are accepted
 TAKE_FOR = 0.7  # s after SIGTERM in which requests still come: SIGKILL follows a deadline and this long after
 DRAIN_MOST = 60.0  # s after SIGTERM at which the node ends though a client still has not taken its answer
 SHARED_LOOK = 0.1  # s between looks at what another process of this node has written
+LOGGED_CHANGES = 4  # endpoints that a line about a list names
 DRAIN_LOOK = 0.02  # s between looks whether all clients are answered
-STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
 
 log = logging.getLogger("badgercart")
 
@@ -116,8 +119,9 @@
             loop, config.dial_timeout, config.idle_timeout, servers, self, self.figures, self.room
         )
         self.listener = Listener(loop, config, self, clients, self.room)
+        self.lists = MemberListReader(config.zones, config.kinds, self.unix_offset, now_ms, stable_id)
         self.discovery = Discovery(
-            config.discovery, self.take_list, self.told.set, random.Random(config.seed)
+            config.discovery, self.take_list, self.take_reach, random.Random(config.seed), loop
         )
         self.perform: dict[type[Action], Callable[[Any], None]] = {
             Send: self.send,
@@ -132,9 +136,10 @@
         self.handover = Handover(config.shared, config.name, self.take_shared)
         if config.admin is not None:
             self.handover.start()  # before the list: who is out must not be sent anything
+        self.tell(DiscoveryReach(Reach.STARTED))
         if config.known.get("instances"):
             try:
-                self.discovery.version = self.take_list(config.known, ListKind.CACHED)
+                self.discovery.version = self.take_members(config.known, ListKind.CACHED)
             except ValueError as error:
                 log.warning("the known list is malformed: %s", error)
 
@@ -299,55 +304,58 @@
 
     # From discovery.
 
-    def take_list(self, raw: dict[str, Any], kind: ListKind | None = None) -> int:
-        """Take over a list or its changes; ValueError, and nothing taken, if any line of it is bad."""
-        try:
-            version = int(raw["generation"])
-            entries = [self.read_entry(line) for line in raw["instances"]]
-            if kind is None:
-                kind = ListKind.FULL if raw["reset"] else ListKind.DELTA
-        except (KeyError, TypeError, AttributeError, OverflowError) as error:
-            raise ValueError(f"{type(error).__name__}: {error}") from None
-        # The module first: what it sends on because of the list must not go to whom the list takes out.
-        self.tell(ServerList(kind, version, [entry for entry, _, _ in entries]))
-        if kind is not ListKind.DELTA:
-            named = {entry.id for entry, _, _ in entries}
+    def take_list(self, raw: Any, whole: bool) -> int | None:
+        """Take over what a call has brought: its version. ValueError, and nothing taken, if it is no list."""
+        return self.take_members(raw, ListKind.FULL if whole else None)
+
+    def take_members(self, raw: Any, kind: ListKind | None) -> int | None:
+        members = self.lists.read(raw, kind)
+        endpoints = members.endpoints
+        # The pool first hears of who is new: the module may send to them while it is told.
+        for endpoint in endpoints:
+            if endpoint.entry.state is State.READY and endpoint.entry.id not in self.pool.servers:
+                self.update_pool(endpoint)
+        # Then the module: what it sends on because of the list must not go to whom the list takes out.
+        self.tell(ServerList(members.kind, members.version or 0, [each.entry for each in endpoints]))
+        if members.kind is not ListKind.DELTA:
+            named = {endpoint.entry.id for endpoint in endpoints}
             for server_id in self.listed - named:
                 gone = self.pool.servers[server_id]
                 self.pool.update(server_id, gone.address, State.GONE, gone.started)
             self.listed &= named
-        for entry, address, name in entries:
-            self.pool.update(entry.id, address, entry.state, entry.started)
-            if entry.state is State.GONE:
-                self.listed.discard(entry.id)
+        for endpoint in endpoints:
+            self.update_pool(endpoint)
+            if endpoint.entry.state is State.GONE:
+                self.listed.discard(endpoint.entry.id)
             else:
-                self.listed.add(entry.id)
-                self.by_server.listed(entry.id, name, entry.started)
+                self.listed.add(endpoint.entry.id)
+                self.by_server.listed(endpoint.entry.id, endpoint.name, endpoint.entry.started)
         self.by_server.keep(self.listed)
-        if entries or kind is not ListKind.DELTA:
-            changed = ", ".join(f"{name} {entry.state.name.lower()}" for entry, _, name in entries[:4])
-            more = f" and {len(entries) - 4} more" if len(entries) > 4 else ""
-            log.info("list %d, %s: %s%s", version, kind.name.lower(), changed, more)
+        if endpoints or members.kind is not ListKind.DELTA:
+            self.log_list(members)
         self.healthy = True
-        if kind is not ListKind.CACHED:
+        return members.version
+
+    def update_pool(self, endpoint: Endpoint) -> None:
+        entry = endpoint.entry
+        self.pool.update(entry.id, endpoint.address, entry.state, entry.started)
+
+    def log_list(self, members: MemberList) -> None:
+        first = members.endpoints[:LOGGED_CHANGES]
+        changed = ", ".join(f"{each.name} {each.entry.state.name.lower()}" for each in first)
+        left = len(members.endpoints) - len(first)
+        more = f" and {left} more" if left else ""
+        version = "without a version" if members.version is None else members.version
+        log.info("list %s, %s: %s%s", version, members.kind.name.lower(), changed, more)
+
+    def take_reach(self, reach: Reach) -> None:
+        """How the connection to discovery stands: for how long the list may be routed by is the module's."""
+        if reach is Reach.CONFIRMED:
             self.told.set()
-        return version
-
-    def read_entry(self, line: dict[str, Any]) -> tuple[ServerEntry, Address, str]:
-        name, started = str(line["instanceId"]), float(line.get("startedAtMs", 0))
-        size = float(line.get("weight", 1.0))
-        if not (math.isfinite(started) and math.isfinite(size) and size >= 0):
-            raise ValueError(f"{name}: weight {size}, started at {started}")  # JSON readers let NaN through
-        entry = ServerEntry(
-            id=stable_id(name.encode()),
-            zone=self.config.zones.get(line.get("zone", ""), -1),
-            kind=self.config.kinds.get(line.get("machineType", ""), -1),
-            cell=int(line.get("cell", -1)),
-            state=STATES[line["lifecycle"]],
-            size=size,
-            started=started - self.unix_offset if started else 0.0,
-        )
-        return entry, parse_address(line["hostPort"]), name
+        held = self.policy.lease.valid(now_ms())
+        self.tell(DiscoveryReach(reach))
+        if held != self.policy.lease.valid(now_ms()):
+            log.info("the list %s: discovery is %s", "has run out" if held else "holds again", reach.value)
 
     # From operators.
 
@@ -376,11 +384,10 @@
 
         Where lists are pushed, what discovery has counts as told from a process's first moment.
         """
-        return (
-            self.config.settings.ask_for_list
-            or self.told.is_set()
-            or self.loop.time() - self.born >= FIRST_LIST
-        )
+        if self.config.settings.ask_for_list or self.told.is_set():
+            return True
+        age = self.loop.time() - self.born
+        return age >= START_MOST or (age >= FIRST_LIST and self.policy.lease.valid(now_ms()))
 
     def tell_health(self, _: bytes) -> Reply:
         if self.ready:
--- a/cottonhall/interface.py
+++ b/cottonhall/interface.py
@@ -113,6 +113,7 @@
     ramp_time: float = 0.0
     tip_multiple: float = 1.0  # sent this multiple of what it can do, a cold server falls over
     tip_time: float = 0.0  # ms: in any stretch of this length
+    drain_grace: float = 0.0  # ms after the news in which a send to a draining endpoint may still come
 
     def __post_init__(self) -> None:
         _need(len(self.classes) > 0, "classes", self.classes)
@@ -128,6 +129,7 @@
             "max_retry_after",
             "key_rest",
             "tip_time",
+            "drain_grace",
         ):
             _need(getattr(self, name) >= 0, name, getattr(self, name))
         for quota in self.quotas:
@@ -157,6 +159,24 @@
     servers: list[ServerEntry]
 
 
+class Reach(Enum):
+    """What the connection to discovery shows."""
+
+    STARTED = "started"  # the process has begun, with a list from before or with none
+    CONFIRMED = "confirmed"  # a list or an empty line came: what the node has is what discovery has
+    SILENT = "silent"  # an open watch has said nothing for too long
+    INTERRUPTED = "interrupted"  # a watch has ended, or discovery is there and lets a call wait
+    UNREACHABLE = "unreachable"  # discovery is down, or no way leads to it
+    MOVED = "moved"  # a new configuration names another address
+
+
+@dataclass(slots=True)
+class DiscoveryReach:
+    """How the connection to discovery stands from now on."""
+
+    reach: Reach
+
+
 @dataclass(slots=True)
 class Request:
     id: int
@@ -244,6 +264,7 @@
 
 Event = (
     ServerList
+    | DiscoveryReach
     | Request
     | Uploaded
     | Began
@@ -268,6 +289,7 @@
     NO_TIME = "no_time"  # no server can answer it in time any more
     ATTEMPTS = "attempts"  # it has had as many as it may have
     NO_ENDPOINT = "no_endpoint"  # none may get it now
+    STALE_LIST = "stale_list"  # what discovery has may have changed, and counts as told
     NOT_REPEATED = "not_repeated"  # a further attempt would feed the overload, or its body is gone
 
 
--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -20,6 +20,7 @@
     Cancel,
     Cause,
     Cordon,
+    DiscoveryReach,
     Effect,
     Event,
     Fail,
@@ -43,6 +44,7 @@
     Wake,
     Withdrawn,
 )
+from cottonhall.membership import MembershipLease
 
 UPKEEP = 50.0  # ms between refreshes of shares and overload; far below any aim
 SHARE_HALF = 5000.0  # ms after which counts of offered work and keys are halved
@@ -199,6 +201,7 @@
         self.never_ran = NEVER_RAN - {Result.FULL} if settings.full_may_have_run else NEVER_RAN
         self.turns: dict[int, Turn] = {}  # by key
         self.moved: list[Turn] = []  # where the next may have its turn
+        self.lease = MembershipLease(settings)  # for how long the list at hand may be routed by
 
     def handle(self, now: float, event: Event) -> list[Action]:
         self.now = now
@@ -209,6 +212,8 @@
             self.on_outcome(event)
         elif isinstance(event, ServerList):
             self.on_list(event)
+        elif isinstance(event, DiscoveryReach):
+            self.lease.note(now, event.reach)
         elif isinstance(event, Withdrawn):
             self.finish(event.id)
         elif isinstance(event, Uploaded):
@@ -281,7 +286,7 @@
         quick = (
             self.x == 0 and self.mean < QUICK * self.least
         )  # else the answer may be slow, and a repeat load
-        if self.settings.may_cancel and quick:
+        if self.settings.may_cancel and quick and self.lease.valid(self.now):
             for server in self.servers.values():
                 self.call_back(server)
 
@@ -375,12 +380,15 @@
         if not timely:
             self.end(job, Cause.NO_TIME if job.tries < self.settings.max_attempts else Cause.ATTEMPTS)
             return
+        if not self.lease.valid(self.now):
+            self.end(job, Cause.STALE_LIST)
+            return
         if (server := self.pick(job)) is None:
             self.end(job, Cause.NO_ENDPOINT)
             return
         if server.entry.id in self.untried:
             self.untried.remove(server.entry.id)
-        within = self.window_left(job)
+        within = min(self.window_left(job), self.lease.send_within(self.now))
         job.out.add(job.tries)
         job.maybe_ran[job.tries] = (self.now, server.entry)
         job.used.append(server.entry.id)
--- a/cottonhall/wire.py
+++ b/cottonhall/wire.py
@@ -145,6 +145,7 @@
         ramp_time=float(rules["RampTime"]),
         tip_multiple=float(rules.get("TipMultiple", 1.0)),
         tip_time=float(rules.get("OverloadFor", 0.0)),
+        drain_grace=float(rules.get("DrainGrace", 0.0)),
     )
 
 
