Read a configuration again until it can be read: SIGHUP may come while it is half written

Cause: reload() gave up on a file that could not be read, so the node stayed with an address that tells nothing more after 1.5 s, and sent to drained endpoints on and on (63 late requests in 3.5 s in test_drain.py). Change: it is read every 0.1 s until it can be, each fault logged once; a further SIGHUP starts anew.

--- a/badgercart/__main__.py
+++ b/badgercart/__main__.py
@@ -14,15 +14,37 @@
 from badgercart.config import Config, ConfigError, read_config, read_discovery
 from badgercart.node import Node
 
+READ_AGAIN = 0.1  # s between looks at a configuration that can't be read
+
 log = logging.getLogger("badgercart")
 
 
-def reload(node: Node) -> None:
-    """The configuration file was replaced. Whatever it holds now, the node goes on."""
-    try:
-        node.move_discovery(read_discovery(os.environ["ROUTER_CONFIG"]))
-    except ConfigError as error:
-        log.warning("configuration not taken over: %s", error)
+class Reloader:
+    """Takes a replaced configuration file over. Whatever it holds, the node goes on.
+
+    A file may be half written when the signal comes. Until it can be read it is read again, as the old
+    discovery soon tells nothing more.
+    """
+
+    def __init__(self, node: Node, path: str) -> None:
+        self.node = node
+        self.path = path
+        self.again: asyncio.TimerHandle | None = None
+
+    def on_signal(self) -> None:
+        if self.again is not None:
+            self.again.cancel()
+        self.read(told="")
+
+    def read(self, told: str) -> None:
+        """Read the file; `told` is what was last said to be wrong with it."""
+        self.again = None
+        try:
+            self.node.move_discovery(read_discovery(self.path))
+        except ConfigError as error:
+            if str(error) != told:
+                log.warning("configuration not taken over: %s", error)
+            self.again = self.node.loop.call_later(READ_AGAIN, self.read, str(error))
 
 
 async def serve(config: Config) -> None:
@@ -30,7 +52,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     node = Node(config, loop)
-    loop.add_signal_handler(signal.SIGHUP, reload, node)
+    loop.add_signal_handler(signal.SIGHUP, Reloader(node, os.environ["ROUTER_CONFIG"]).on_signal)
     gc.collect()
     gc.freeze()  # what is there now stays: the collector need not look at it again
     starting, stopped = loop.create_task(node.start()), loop.create_task(stop.wait())
