Keep slow start and returns in spans through steps of the wall clock

Cause: one difference of wall and monotonic clock, taken at the start, served for ever, and a call back was stamped by the wall clock: after a step forward a called-back endpoint stayed at its coldest share for the step's length, after a step back it counted as warm at once. Change: badgercart/wallclock.py (lowest difference, never ahead of now), starts are kept as first reckoned, returns carry their monotonic moment in a file beside the shared one. Figures report the start as listed.

--- a/badgercart/figures.py
+++ b/badgercart/figures.py
@@ -78,7 +78,7 @@
         else:
             answers.failed[cls] += 1
 
-    def report(self, out: Mapping[int, int], cordoned: Set[str], started_ms: float) -> str:
+    def report(self, out: Mapping[int, int], cordoned: Set[str]) -> str:
         """One JSON object, by server: attempts out, whether it is out by hand, Unix ms of its start as the
         list has it, answers by class.
 
@@ -89,7 +89,7 @@
                 answers.name: {
                     "out": out.get(server, 0),
                     "cordoned": answers.name in cordoned,
-                    "started": round(answers.started + started_ms) if answers.started else 0,
+                    "started": round(answers.started),
                     "classes": {name: answers.of(cls) for cls, name in enumerate(self.classes)},
                 }
                 for server, answers in self.servers.items()
--- a/badgercart/handover.py
+++ b/badgercart/handover.py
@@ -12,7 +12,7 @@
 import math
 import os
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Set
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -35,9 +35,9 @@
         returned = {other: at for other, at in self.returned.items() if other != name}
         return Shared(self.cordoned | {name}, returned)
 
-    def with_back(self, name: str, at: float, forget: float) -> Shared:
-        """The server is called back. Returns before `forget` no longer matter."""
-        returned = {other: when for other, when in self.returned.items() if when > forget}
+    def with_back(self, name: str, at: float, forget: Set[str]) -> Shared:
+        """The server is called back. The returns of those to forget no longer matter."""
+        returned = {other: when for other, when in self.returned.items() if other not in forget}
         return Shared(self.cordoned - {name}, returned | {name: at})
 
     def to_json(self) -> bytes:
@@ -59,6 +59,27 @@
         return cls(frozenset(cordoned), returned)
 
 
+@dataclass(slots=True, frozen=True)
+class Moment:
+    """One moment on both clocks, in ms. The monotonic one is the same for all processes of a machine."""
+
+    unix: float
+    monotonic: float
+
+
+def moments_from_json(data: bytes) -> dict[str, Moment]:
+    """ValueError at anything but what write_moments writes."""
+    raw = json.loads(data)
+    if not isinstance(raw, dict):
+        raise ValueError("not an object")
+    moments = {}
+    for name, pair in raw.items():
+        if not isinstance(pair, list) or len(pair) != 2 or not all(isinstance(x, int | float) for x in pair):
+            raise ValueError(f"{name}: not two times")
+        moments[name] = Moment(*map(float, pair))
+    return moments
+
+
 class Handover:
     """This process's part in it. Without a folder it keeps what is said to itself."""
 
@@ -71,8 +92,10 @@
         stem = "badgercart-" + name.encode().hex()
         self.stem = stem + "."
         self.presence: int | None = None  # descriptor of the own lock
+        self.moments: dict[str, Moment] = {}  # of the returns, by name
         if folder is not None:
             self.file, self.lock = folder / f"{stem}.json", folder / f"{stem}.lock"
+            self.moments_file = folder / f"{stem}.moments.json"
             self.own = folder / f"{stem}.{os.getpid()}-{time.monotonic_ns()}.alive"
 
     def start(self) -> None:
@@ -113,12 +136,40 @@
         with self.locked():
             self.take()
             shared = edit(self.shared)
-            new = self.file.with_suffix(".new")
-            new.write_bytes(shared.to_json())
-            new.replace(self.file)
+            self.write_moments(shared)  # first: who sees the return has its moment
+            replace_file(self.file, shared.to_json())
             self.stamp = self.read_stamp()
         self.hold(shared)
 
+    # When servers were called back. The shared file has Unix times, as versions before read and write it; the
+    # wall clock may be stepped, so a file beside it has the same moments on the monotonic clock.
+
+    def stamp_return(self, name: str, now: float) -> float:
+        """A server is called back at `now` on the monotonic clock: the Unix time that says so."""
+        self.moments[name] = Moment(time.time() * 1000, now)
+        return self.moments[name].unix
+
+    def returned_at(self, name: str, unix: float) -> float:
+        """When it was called back, on the monotonic clock; by Unix time where nothing else tells."""
+        moment = self.moments.get(name)
+        if moment is not None and moment.unix == unix:
+            return moment.monotonic
+        age = max(0.0, time.time() * 1000 - unix)
+        return time.monotonic() * 1000 - age
+
+    def write_moments(self, shared: Shared) -> None:
+        self.moments = {name: moment for name, moment in self.moments.items() if name in shared.returned}
+        pairs = {name: [moment.unix, moment.monotonic] for name, moment in self.moments.items()}
+        replace_file(self.moments_file, json.dumps(pairs).encode())
+
+    def read_moments(self) -> None:
+        try:
+            self.moments |= moments_from_json(read_limited(self.moments_file))
+        except FileNotFoundError:
+            pass  # a version before has written the shared file
+        except (OSError, ValueError, RecursionError) as error:
+            log.warning("%s: %s; Unix times have to do", self.moments_file, error)
+
     def hold(self, shared: Shared) -> None:
         before, self.shared = self.shared, shared
         if shared != before:
@@ -130,14 +181,11 @@
             return
         self.stamp = stamp
         try:
-            with self.file.open("rb") as file:
-                data = file.read(MAX_FILE + 1)
-            if len(data) > MAX_FILE:
-                raise ValueError("over the limit")
-            shared = Shared.from_json(data)
+            shared = Shared.from_json(read_limited(self.file))
         except (OSError, ValueError, RecursionError) as error:
             log.warning("%s: %s; what held before holds on", self.file, error)
             return
+        self.read_moments()
         self.hold(shared)
 
     def read_stamp(self) -> tuple[int, int] | None:
@@ -172,6 +220,22 @@
             os.close(descriptor)
 
 
+def read_limited(path: Path) -> bytes:
+    """A file of ours; ValueError at one that is too large to be."""
+    with path.open("rb") as file:
+        data = file.read(MAX_FILE + 1)
+    if len(data) > MAX_FILE:
+        raise ValueError("over the limit")
+    return data
+
+
+def replace_file(path: Path, data: bytes) -> None:
+    """Replace a file whole: who reads it sees the old one or the new one."""
+    new = path.with_suffix(".new")
+    new.write_bytes(data)
+    new.replace(path)
+
+
 def held(path: Path) -> bool:
     """Whether the process whose lock this is runs."""
     try:
--- a/badgercart/memberlist.py
+++ b/badgercart/memberlist.py
@@ -6,10 +6,11 @@
 import math
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from badgercart.config import Address, parse_address
+from badgercart.wallclock import WallClock
 from cottonhall.interface import ListKind, ServerEntry, State
 from cottonhall.membership import Membership
 
@@ -26,6 +27,7 @@
     entry: ServerEntry
     address: Address
     name: str
+    started_at: float  # Unix time in ms of its start as listed, 0: long ago
 
 
 @dataclass(slots=True)
@@ -52,8 +54,7 @@
 
     zones: dict[str, int]
     kinds: dict[str, int]
-    unix_offset: float  # Unix time in ms less the monotonic clock
-    now: Callable[[], float]  # the monotonic clock in ms
+    clock: WallClock
     stable_id: Callable[[bytes], int]
     membership: Membership = field(default_factory=Membership)
     known: dict[int, Endpoint] = field(default_factory=dict)
@@ -68,6 +69,8 @@
         if not isinstance(raw, dict) or not isinstance(raw.get("instances"), list):
             raise ValueError("no object with instances")
         of_watch = kind is None
+        if step := self.clock.measure():
+            log.warning("the wall clock was stepped by %.0f ms; spans are kept", step)
         if kind is None:
             reset = raw.get("reset")
             if not isinstance(reset, bool):
@@ -89,8 +92,7 @@
         entries = [endpoint.entry for endpoint in endpoints]
         resolved = self.membership.resolve(kind, version, entries)
         endpoints = [
-            Endpoint(entry, endpoint.address, endpoint.name)
-            for entry, endpoint in zip(resolved, endpoints, strict=True)
+            replace(endpoint, entry=entry) for entry, endpoint in zip(resolved, endpoints, strict=True)
         ]
         for endpoint in endpoints:
             self.known[endpoint.entry.id] = endpoint
@@ -126,6 +128,7 @@
             if state is State.READY:
                 return None  # there is no way to it
             address = ("", 0)
+        started_at = self._started_at(name, line.get("startedAtMs", 0), old)
         entry = ServerEntry(
             id=endpoint_id,
             zone=self._number(line.get("zone"), self.zones),
@@ -133,9 +136,9 @@
             cell=self._cell(name, line.get("cell", -1)),
             state=state,
             size=self._size(name, line.get("weight", 1.0), old),
-            started=self._started(name, line.get("startedAtMs", 0), old),
+            started=self._started(started_at, old),
         )
-        return Endpoint(entry, address, name)
+        return Endpoint(entry, address, name, started_at)
 
     def _state(self, name: str, word: object) -> State | None:
         if isinstance(word, str) and word in STATES:
@@ -168,12 +171,18 @@
         self._log(_Fault(name, "weight", value))
         return 1.0 if old is None else old.entry.size
 
-    def _started(self, name: str, value: object, old: Endpoint | None) -> float:
-        """On the monotonic clock; 0 for long ago. One that can't be read counts as just now, so as cold."""
+    def _started_at(self, name: str, value: object, old: Endpoint | None) -> float:
+        """Unix time in ms; 0 for long ago. One that can't be read counts as just now, so as cold."""
         if _finite(value):
-            return float(value) - self.unix_offset if value else 0.0  # type: ignore[arg-type]
+            return float(value)  # type: ignore[arg-type]
         self._log(_Fault(name, "startedAtMs", value))
-        return self.now() if old is None else old.entry.started
+        return self.clock.unix() if old is None else old.started_at
+
+    def _started(self, started_at: float, old: Endpoint | None) -> float:
+        """The same on the monotonic clock. What was known stays, whatever has become of Unix time."""
+        if old is not None and old.started_at == started_at:
+            return old.entry.started
+        return self.clock.moment(started_at) if started_at else 0.0
 
     def _log(self, fault: _Fault) -> None:
         words = f"{fault.name}: {fault.key} is {str(fault.value)[:80]!r}"
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -10,7 +10,6 @@
 import logging
 import math
 import random
-import time
 from collections import Counter, deque
 from collections.abc import Callable
 from contextlib import suppress
@@ -27,6 +26,7 @@
 from badgercart.handover import Handover, Shared
 from badgercart.memberlist import Endpoint, MemberList, MemberListReader
 from badgercart.servers import Answer, Attempt, Message, ServerPool, now_ms
+from badgercart.wallclock import WallClock
 from cottonhall import Policy
 from cottonhall.interface import (
     Action,
@@ -98,7 +98,7 @@
         self.config = config
         self.loop = loop
         self.policy = Policy(config.settings, config.seed)
-        self.unix_offset = time.time() * 1000 - now_ms()
+        self.clock = WallClock()
         self.held: dict[int, Held] = {}
         self.last_id = 0
         self.events: deque[Event] = deque()
@@ -119,7 +119,7 @@
             loop, config.dial_timeout, config.idle_timeout, servers, self, self.figures, self.room
         )
         self.listener = Listener(loop, config, self, clients, self.room)
-        self.lists = MemberListReader(config.zones, config.kinds, self.unix_offset, now_ms, stable_id)
+        self.lists = MemberListReader(config.zones, config.kinds, self.clock, stable_id)
         self.discovery = Discovery(
             config.discovery, self.take_list, self.take_reach, random.Random(config.seed), loop
         )
@@ -329,7 +329,7 @@
                 self.listed.discard(endpoint.entry.id)
             else:
                 self.listed.add(endpoint.entry.id)
-                self.by_server.listed(endpoint.entry.id, endpoint.name, endpoint.entry.started)
+                self.by_server.listed(endpoint.entry.id, endpoint.name, endpoint.started_at)
         self.by_server.keep(self.listed)
         if endpoints or members.kind is not ListKind.DELTA:
             self.log_list(members)
@@ -408,17 +408,22 @@
     def report_servers(self, _: bytes) -> Reply:
         out = Counter(attempt.server.id for attempt in self.pool.attempts.values())
         self.handover.look()  # the other process may have been called
-        return 200, self.by_server.report(out, self.handover.shared.cordoned, self.unix_offset)
+        return 200, self.by_server.report(out, self.handover.shared.cordoned)
 
     def cordon(self, body: bytes) -> Reply:
         return self.change_shared(body, "cordoned", lambda shared, name: shared.without(name))
 
     def uncordon(self, body: bytes) -> Reply:
-        now = time.time() * 1000
-        forget = now - self.config.settings.ramp_time
+        now = now_ms()
 
         def edit(shared: Shared, name: str) -> Shared:
-            return shared.with_back(name, now, forget) if name in shared.cordoned else shared
+            if name not in shared.cordoned:
+                return shared
+            warm = now - self.config.settings.ramp_time
+            forget = {
+                other for other, at in shared.returned.items() if self.handover.returned_at(other, at) <= warm
+            }
+            return shared.with_back(name, self.handover.stamp_return(name, now), forget)
 
         return self.change_shared(body, "serves again", edit)
 
@@ -450,7 +455,7 @@
         for name, at in sorted(shared.returned.items()):
             if before.returned.get(name) != at:
                 log.info("%s is back", name)
-                self.tell(Uncordon(stable_id(name.encode()), at - self.unix_offset))
+                self.tell(Uncordon(stable_id(name.encode()), self.handover.returned_at(name, at)))
 
     def look_at_shared(self) -> None:
         self.loop.call_later(SHARED_LOOK, self.look_at_shared)
--- /dev/null
+++ b/badgercart/wallclock.py
@@ -0,0 +1,45 @@
+"""Unix time against the monotonic clock, where Unix time may be stepped at any moment."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+STEP = 1000.0  # ms by which the two clocks may drift apart before it is called a step
+
+
+def unix_ms() -> float:
+    return time.time() * 1000
+
+
+def monotonic_ms() -> float:
+    return time.monotonic() * 1000
+
+
+class WallClock:
+    """Turns another machine's Unix times into moments of the monotonic clock.
+
+    After a step nobody can tell whether the time was right before it or is right after it. So the lowest
+    offset seen counts: with it a start is never taken for earlier than it was, and an endpoint that is cold
+    never for warm. A start that then lies ahead counts as now. What this can't tell: an endpoint that started
+    long ago, and is first listed after a step back, counts as cold once.
+    """
+
+    def __init__(
+        self, unix: Callable[[], float] = unix_ms, monotonic: Callable[[], float] = monotonic_ms
+    ) -> None:
+        self.unix = unix
+        self.monotonic = monotonic
+        self.offset = self.lowest = unix() - monotonic()  # Unix time less the monotonic clock, ms
+
+    def measure(self) -> float:
+        """Compare the clocks again; by how many ms Unix time was stepped since the last look, else 0."""
+        offset = self.unix() - self.monotonic()
+        step = offset - self.offset
+        self.offset = offset
+        self.lowest = min(self.lowest, offset)
+        return step if abs(step) >= STEP else 0.0
+
+    def moment(self, unix: float) -> float:
+        """When that was on the monotonic clock, at the latest; never ahead of now."""
+        return min(unix - self.lowest, self.monotonic())
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -189,7 +189,7 @@
     for took in (0.0, 1.0, 3.0, 100.0, 1e9):
         figures.ended(1, 0, Result.OK, took)
     figures.ended(2, 0, Result.OK, 1.0)  # not listed any more: nobody asks for it
-    buckets = json.loads(figures.report({}, set(), 0.0))["s-1"]["classes"]["find"]["took"]
+    buckets = json.loads(figures.report({}, set()))["s-1"]["classes"]["find"]["took"]
     assert buckets == [[0, 1], [4, 1], [8, 1], [26, 1], [63, 1]]
     for took, (bucket, _) in zip((0.0, 1.0, 3.0, 100.0), buckets, strict=False):
         assert 2 ** (bucket / 4) - 1 <= took < 2 ** ((bucket + 1) / 4) - 1
--- a/tests/test_memberlist.py
+++ b/tests/test_memberlist.py
@@ -12,6 +12,7 @@
 
 from badgercart.clients import stable_id
 from badgercart.memberlist import MemberListReader
+from badgercart.wallclock import WallClock
 from cottonhall.interface import ListKind, State
 
 NOW, UNIX_OFFSET = 5000.0, 1_700_000_000_000.0
@@ -27,7 +28,8 @@
 
 
 def reader() -> MemberListReader:
-    return MemberListReader({"a": 0}, {"m": 0}, UNIX_OFFSET, lambda: NOW, stable_id)
+    clock = WallClock(lambda: UNIX_OFFSET + NOW, lambda: NOW)
+    return MemberListReader({"a": 0}, {"m": 0}, clock, stable_id)
 
 
 def entry(name: str, **changes: Any) -> dict[str, Any]:
