Try again to listen while the system is short of sockets or memory

Cause: one ENOBUFS, ENOMEM, EMFILE or ENFILE of socket() at the start ended the node (Node.start raised). Result: a shim in C (flaxstep/rig/shim/syscalls.c), loaded into the node alone, fails accept4, socket and connect by number: 17 cases; the four at the start fail without the change. Accepts and connects that fail cost no request that was read.

--- a/badgercart/clients.py
+++ b/badgercart/clients.py
@@ -119,7 +119,11 @@
 
     async def start(self) -> asyncio.Server:
         self.socket = self.bind()
-        self.server = await self.loop.create_server(self.connection, sock=self.socket, backlog=BACKLOG)
+        try:
+            self.server = await self.loop.create_server(self.connection, sock=self.socket, backlog=BACKLOG)
+        except OSError:
+            self.socket.close()
+            raise
         self.loop.call_later(LOOK, self.look)
         return self.server
 
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -7,11 +7,12 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import math
 import random
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
@@ -66,6 +67,9 @@
 TAKE_FOR = 0.7  # s after SIGTERM in which requests still come: SIGKILL follows a deadline and this long after
 DRAIN_MOST = 60.0  # s after SIGTERM at which the node ends though a client still has not taken its answer
 SHARED_LOOK = 0.1  # s between looks at what another process of this node has written
+LISTEN_FOR = 8.0  # s from the start for which the node tries to listen: it has to be ready within 10 s
+LISTEN_AGAIN = 0.1  # s between those tries
+SHORTAGES = frozenset({errno.ENOBUFS, errno.ENOMEM, errno.EMFILE, errno.ENFILE, errno.EAGAIN})
 LOGGED_CHANGES = 4  # endpoints that a line about a list names
 DRAIN_LOOK = 0.02  # s between looks whether all clients are answered
 
@@ -493,14 +497,26 @@
 
     async def start(self) -> None:
         if self.config.admin is not None:
-            self.door = await Door(self.loop, self.calls()).start(self.config.admin)
+            door, address = Door(self.loop, self.calls()), self.config.admin
+            self.door = await self.persist(lambda: door.start(address))
             self.look_at_shared()
         self.watch = self.loop.create_task(self.discovery.run())
         if self.handover.others:
             await self.wait_to_succeed()
-        self.server = await self.listener.start()
+        self.server = await self.persist(self.listener.start)
         log.info("%s listens on %s:%d", self.config.name, *self.server.sockets[0].getsockname()[:2])
 
+    async def persist(self, listen: Callable[[], Awaitable[asyncio.Server]]) -> asyncio.Server:
+        """Listen, and try again while the system is short of what that takes."""
+        while True:
+            try:
+                return await listen()
+            except OSError as error:
+                if error.errno not in SHORTAGES or self.loop.time() - self.born > LISTEN_FOR:
+                    raise
+                log.warning("not listening yet: %s", error)
+            await asyncio.sleep(LISTEN_AGAIN)
+
     async def wait_to_succeed(self) -> None:
         """While the old process serves, nothing may come to this one that it can't serve as well."""
         self.share_room()
--- /dev/null
+++ b/tests/test_syscalls.py
@@ -0,0 +1,96 @@
+"""System calls of a node's process fail as Linux documents; a shim in C sees those of uvloop too."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import json
+import os
+import re
+import subprocess
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+import uvloop
+
+from tests.net import Agent, Peer, request
+from tests.test_process import connect, log_line, raw_config, started
+
+SHIM = Path(__file__).parent.parent / "flaxstep" / "rig" / "shim" / "syscalls.c"
+
+
+@pytest.fixture(scope="module")
+def shim(tmp_path_factory: pytest.TempPathFactory) -> Path:
+    built = tmp_path_factory.mktemp("shim") / "syscalls.so"
+    subprocess.run(
+        ["cc", "-shared", "-fPIC", "-O2", "-Wall", "-Werror", "-o", built, SHIM, "-ldl"], check=True
+    )
+    return built
+
+
+def environ(shim: Path, faults: str) -> dict[str, str]:
+    return os.environ | {"LD_PRELOAD": str(shim), "RIG_FAULTS": faults}
+
+
+@pytest.mark.parametrize("error", [errno.ENOBUFS, errno.ENOMEM, errno.EMFILE, errno.ENFILE])
+def test_a_shortage_at_the_start_delays_a_node_and_does_not_end_it(
+    tmp_path: Path, shim: Path, error: int
+) -> None:
+    async def test() -> None:
+        peer = await Peer().start()
+        agent = await Agent([peer.entry()]).start()
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(raw_config() | {"discovery": f"127.0.0.1:{agent.port}"}))
+        async with started(path, environ(shim, f"socket:{error}:1:12"), wait=False) as (node, _):
+            delayed = False
+            while not (match := re.search(r"listens on 127\.0\.0\.1:(\d+)", line := await log_line(node))):
+                delayed = delayed or "not listening yet" in line
+            assert delayed
+            client = await connect(int(match[1]))
+            async with asyncio.timeout(10.0):
+                while (await client.ask(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"))[0] != 200:
+                    await asyncio.sleep(0.05)
+            assert (await client.ask(request()))[0] == 200
+
+    uvloop.run(test())
+
+
+ACCEPT = [errno.ECONNABORTED, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM]
+CONNECT = [errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.EHOSTUNREACH, errno.ENOBUFS, errno.ETIMEDOUT]
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [f"accept4:{error}:3:40" for error in ACCEPT]
+    + [f"connect:{error}:4:12" for error in CONNECT]
+    + [f"socket:{error}:8:16" for error in (errno.ENOBUFS, errno.EMFILE, errno.ENFILE)],
+)
+def test_while_system_calls_fail_each_request_that_is_read_has_its_answer(
+    tmp_path: Path, shim: Path, faults: str
+) -> None:
+    """A connection may be closed unread; what it asks then comes on another, and the node recovers."""
+
+    async def ask(port: int) -> int | None:
+        with suppress(OSError, asyncio.IncompleteReadError):
+            client = await connect(port)
+            try:
+                return (await client.ask(request(timeout="3000m")))[0]
+            finally:
+                client.writer.close()
+        return None
+
+    async def test() -> None:
+        peer = await Peer().start()
+        agent = await Agent([peer.entry()]).start()
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(raw_config() | {"discovery": f"127.0.0.1:{agent.port}"}))
+        async with started(path, environ(shim, faults)) as (node, port):
+            answers = [await ask(port) for _ in range(40)]
+            assert set(answers) <= {200, 502, 503, None}
+            assert answers[-1] == 200 and answers.count(200) > 10
+            # What never went out to a server is refused, so that trying again is harmless.
+            assert 502 not in answers
+            assert node.returncode is None
+
+    uvloop.run(test())
