Let an outage whose calls wait and are refused not end the lease on the list

Change: a refused call counts from when it began, as discovery could not be reached then; after silence or SIGHUP only from the second one on.

--- a/badgercart/discovery.py
+++ b/badgercart/discovery.py
@@ -132,7 +132,7 @@
             ended = "complete"
         except (OSError, DiscoveryError, httptools.HttpParserError) as error:
             ended = str(error) or type(error).__name__
-            self.client.on_reach(self.reach_at_end(error))
+            self.client.on_reach(self.reach_at_end(error), self.begun)
             raise DiscoveryError(ended) from None
         finally:
             if self.waiting is not None:
@@ -149,7 +149,7 @@
         if self.heard:
             return Reach.INTERRUPTED
         quick = self.client.loop.time() - self.begun < DOWN_WITHIN
-        return Reach.UNREACHABLE if timed_out or quick or not self.connected else Reach.INTERRUPTED
+        return Reach.UNREACHABLE if timed_out or quick or not self.connected else Reach.REFUSED
 
     def log_end(self, ended: str) -> None:
         """When a call began and what became of it: the age of the list in force follows from these lines."""
@@ -168,7 +168,9 @@
         async with asyncio.timeout(CALL_TIME):
             reader, writer = await asyncio.open_connection(host, port)
         self.connected = True
-        self.waiting = self.client.loop.call_later(WAITING, self.client.on_reach, Reach.INTERRUPTED)
+        self.waiting = self.client.loop.call_later(
+            WAITING, self.client.on_reach, Reach.INTERRUPTED, self.begun
+        )
         try:
             writer.write(f"GET {self.path} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode())
             await (self.read_whole(reader) if self.whole else self.read_watch(reader))
@@ -223,7 +225,7 @@
             self.client.answered(self)
         if self.client.version is not None:
             self.client.retry, self.client.failing = RETRY_FIRST, False
-        self.client.on_reach(Reach.CONFIRMED)
+        self.client.on_reach(Reach.CONFIRMED, self.begun)
 
     @contextmanager
     def malformed(self) -> Iterator[None]:
@@ -240,14 +242,14 @@
 
     `on_list` gets each list, raw, and whether it was asked for as a whole one. It returns the list's version,
     None if that can't be read, and raises ValueError at what is no list. `on_reach` hears how the connection
-    to discovery stands.
+    to discovery stands, and when the call that shows it began, by the loop's clock.
     """
 
     def __init__(
         self,
         address: Address,
         on_list: Callable[[Any, bool], int | None],
-        on_reach: Callable[[Reach], None],
+        on_reach: Callable[[Reach, float], None],
         rng: random.Random,
         loop: asyncio.AbstractEventLoop,
     ) -> None:
@@ -267,7 +269,7 @@
         self.address, self.retry, self.failing = address, RETRY_FIRST, False
         for task in self.calls:
             task.cancel()  # what still comes from the old address confirms nothing
-        self.on_reach(Reach.MOVED)
+        self.on_reach(Reach.MOVED, self.loop.time())
 
     async def run(self) -> None:
         while True:
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -352,12 +352,13 @@
         version = "without a version" if members.version is None else members.version
         log.info("list %s, %s: %s%s", version, members.kind.name.lower(), changed, more)
 
-    def take_reach(self, reach: Reach) -> None:
+    def take_reach(self, reach: Reach, since: float) -> None:
         """How the connection to discovery stands: for how long the list may be routed by is the module's."""
         if reach is Reach.CONFIRMED:
             self.told.set()
         held = self.policy.lease.valid(now_ms())
-        self.tell(DiscoveryReach(reach))
+        # Seconds of the loop's clock, which may be cached since the turn began: as a span before now.
+        self.tell(DiscoveryReach(reach, now_ms() - 1000 * (self.loop.time() - since)))
         if held != self.policy.lease.valid(now_ms()):
             log.info("the list %s: discovery is %s", "has run out" if held else "holds again", reach.value)
 
--- a/cottonhall/interface.py
+++ b/cottonhall/interface.py
@@ -166,6 +166,7 @@
     CONFIRMED = "confirmed"  # a list or an empty line came: what the node has is what discovery has
     SILENT = "silent"  # an open watch has said nothing for too long
     INTERRUPTED = "interrupted"  # a watch has ended, or discovery is there and lets a call wait
+    REFUSED = "refused"  # discovery has let a call wait, and then given it no list
     UNREACHABLE = "unreachable"  # discovery is down, or no way leads to it
     MOVED = "moved"  # a new configuration names another address
 
@@ -175,6 +176,7 @@
     """How the connection to discovery stands from now on."""
 
     reach: Reach
+    since: float = 0.0  # clock time at which the call that shows it began
 
 
 @dataclass(slots=True)
--- a/cottonhall/membership.py
+++ b/cottonhall/membership.py
@@ -15,6 +15,7 @@
 MISSED_AFTER = 6000.0
 MOVED_AFTER = 4000.0
 START_TIME = 1000.0  # a process has run for less than this when it notes that it has started
+PROOF_OF_OUTAGE = 2  # calls in a row that discovery lets wait and then refuses
 MAX_TOMBSTONES = 8192  # endpoints that have left; the oldest are forgotten beyond that
 
 
@@ -31,33 +32,54 @@
         self.margin = settings.drain_grace / 2  # the other half covers the way to the endpoint
         self.expires = math.inf
         self.current_at = -math.inf  # when the list was last known to be all that could be known
-        self.silent = False  # the watch fell silent; its clock runs until the next sign
+        self.told_anyway = False  # silence or a new configuration: its clock runs, whatever calls bring
+        self.refusals = 0  # calls refused since the last sign
+        self.down = False  # discovery was found down and has not answered since
 
-    def note(self, now: float, reach: Reach) -> None:
-        """Take up what the connection to discovery shows at `now`."""
+    def note(self, now: float, reach: Reach, since: float) -> None:
+        """Take up what the connection to discovery shows at `now`, by a call that began at `since`."""
         if reach is Reach.MOVED:
+            self.told_anyway = True
             self.expires = min(self.expires, now + MOVED_AFTER)
         elif reach is Reach.SILENT:
-            self.silent = True
+            self.told_anyway = True
         elif reach is Reach.INTERRUPTED:
             self.expires = min(self.expires, self._end_unwatched(now))
+        elif reach is Reach.REFUSED:
+            self._note_refusal(since)
         else:
-            self.current_at = now
-            self.silent = False
-            self.expires = self._end_after(now, reach)
+            self._note_sign(now, reach)
 
     def _end_unwatched(self, now: float) -> float:
         """Without a watch: pushed changes count at once, others once they could have been asked for."""
-        if self.pushed and not self.silent:
+        if self.pushed and not self.down and not self.told_anyway:
             return now + self.margin
         return self.current_at + self.unwatched
 
-    def _end_after(self, now: float, reach: Reach) -> float:
+    def _note_refusal(self, since: float) -> None:
+        """A call has waited and got no list: discovery is down or has too many callers, and nobody can tell.
+
+        When it was made, discovery could not be reached, so its time counts from then. After silence or a new
+        configuration one refusal is no proof of an outage, a second one is.
+        """
+        self.refusals += 1
+        if self.told_anyway and self.refusals < PROOF_OF_OUTAGE:
+            return
+        self.down = True
+        self.current_at = max(self.current_at, since)
+        self.expires = self.current_at + self.unwatched
+
+    def _note_sign(self, now: float, reach: Reach) -> None:
+        self.current_at = now
+        self.told_anyway = False
+        self.refusals = 0
+        self.down = reach is Reach.UNREACHABLE
         if reach is Reach.UNREACHABLE:
-            return math.inf
-        if reach is Reach.CONFIRMED:
-            return now + MISSED_AFTER
-        return now if self.pushed else now + self.unwatched - START_TIME
+            self.expires = math.inf
+        elif reach is Reach.CONFIRMED:
+            self.expires = now + MISSED_AFTER
+        else:
+            self.expires = now if self.pushed else now + self.unwatched - START_TIME
 
     def valid(self, now: float) -> bool:
         """Whether requests may be sent by the list at hand."""
--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -213,7 +213,7 @@
         elif isinstance(event, ServerList):
             self.on_list(event)
         elif isinstance(event, DiscoveryReach):
-            self.lease.note(now, event.reach)
+            self.lease.note(now, event.reach, event.since)
         elif isinstance(event, Withdrawn):
             self.finish(event.id)
         elif isinstance(event, Uploaded):
