Make a change of the list cost what changed, whatever the size of the fleet

Each change sorted the whole key ring anew and summed over all servers, upkeep walked all of them. Also: request_taken and answered in the debug log.

--- a/badgercart/clients.py
+++ b/badgercart/clients.py
@@ -169,6 +169,7 @@
         self.keep_to_limit(None)
 
     def opened(self, client: ClientConnection) -> None:
+        event("client_connected", connection=client.descriptor)
         self.connections.add(client)
         self.silent[client] = self.unproven[client] = self.loop.time()
         self.keep_to_limit(client)
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -199,6 +199,7 @@
     def answer(self, request_id: int, status: int, extra: bytes = b"") -> None:
         held = self.release(request_id)
         if held is not None:
+            log_event("answered", request=held.message.request_id, status=status)
             self.figures.ended(held.cls, status)
             held.client.answer(status, extra=extra)
 
@@ -235,6 +236,13 @@
             due += 1000 * MAX_BODY / LEAST_RATE
         self.held[request_id] = Held(client, request.message, request.cls, due, request.timeout, uploading)
         cls, key, tenant = request.cls, request.key, request.tenant
+        log_event(
+            "request_taken",
+            request=request.message.request_id,
+            connection=client.descriptor,
+            cls=cls,
+            ms_left=due - now_ms(),
+        )
         self.tell(Request(request_id, cls, due, key, tenant, request.hint, request.repeat, uploading))
 
     def uploaded(self, client: ClientConnection, request_id: int) -> None:
@@ -273,6 +281,7 @@
                 held.client.break_off()
         elif held is not None and result is Result.OK and answer is not None:
             del self.held[request_id]
+            log_event("answered", request=held.message.request_id, status=200)
             self.figures.ended(held.cls, 200)
             held.client.answer(200, answer.body, answer.content_type)
         over, elapsed = request_id not in self.held, now_ms() - attempt.started
--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -8,7 +8,8 @@
 
 import math
 import random
-from bisect import bisect, insort
+from bisect import bisect_left, insort
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 
@@ -45,6 +46,7 @@
     Withdrawn,
 )
 from cottonhall.membership import MembershipLease
+from cottonhall.ring import HashRing, mix
 
 UPKEEP = 50.0  # ms between refreshes of shares and overload; far below any aim
 SHARE_HALF = 5000.0  # ms after which counts of offered work and keys are halved
@@ -82,17 +84,9 @@
 COLD_OPEN = 2  # attempts that a node may have out at a cold server that answers: each asks for the next
 FIRST = 4.0  # requests that a server gets at once when it is called back, from all nodes together
 SUBSCRIBE = 1 << 60  # token of the timer that asks for the list; the others' are ids of held requests
-MASK = (1 << 64) - 1
 ANSWERED = frozenset({Result.OK, Result.ERROR, Result.FULL})  # the server itself has spoken
 
 
-def mix(x: int) -> int:
-    """Scatter a number over 64 bits; the same at every node."""
-    x = (x ^ (x >> 31)) * 0x9E3779B97F4A7C15 & MASK
-    x = (x ^ (x >> 29)) * 0xBF58476D1CE4E5B9 & MASK
-    return x ^ (x >> 32)
-
-
 @dataclass(slots=True)
 class Health:
     """How a server treats one class."""
@@ -172,7 +166,13 @@
         self.ready: list[int] = []  # may serve; in the order of their hashes, the same at every node
         self.start, self.span = 0, 1  # our stretch of the fleet
         self.ours: list[int] = []  # its servers
-        self.ring: list[tuple[int, int]] = []  # places of its servers
+        self.ring = HashRing()  # places of its servers
+        # What a change of the list touches, so that it costs what changed and not the whole fleet.
+        self.touched: set[int] = set()  # servers since the fleet was measured
+        self.starting: set[int] = set()  # ready ones that may still be cold
+        self.sizes: Counter[tuple[float, int]] = Counter()  # ready ones by listed size and kind
+        self.gone: set[int] = set()  # not listed any more, kept while an outcome may still name them
+        self.occupied: set[int] = set()  # those that hold attempts of ours
         self.jobs: dict[int, Job] = {}
         n = len(settings.classes)
         self.worths = [c.worth * w for w in (1.0, settings.over_quota_worth) for c in settings.classes]
@@ -280,15 +280,15 @@
             for server in self.servers.values():
                 server.recent /= 2
                 server.slow = (1 + server.slow) / 2
-            self.measure_fleet()
+            self.measure_fleet(whole=True)
         self.set_bands()
         self.set_cut(passed)
         quick = (
             self.x == 0 and self.mean < QUICK * self.least
         )  # else the answer may be slow, and a repeat load
         if self.settings.may_cancel and quick and self.lease.valid(self.now):
-            for server in self.servers.values():
-                self.call_back(server)
+            for server_id in list(self.occupied):
+                self.call_back(self.servers[server_id])
 
     def set_bands(self) -> None:
         """Scores: groups in order of worth, as wide as their share of offered worth; equals share a band."""
@@ -304,7 +304,8 @@
     def set_cut(self, passed: float) -> None:
         # Of few requests held most is chance: then it looks at a longer time.
         settle = min(max(SETTLE / self.need, 4 * UPKEEP), 100 * UPKEEP)
-        lost = sum(len(s.open) - len(s.held(self.now)) for s in self.servers.values() if s.open)
+        occupied = [self.servers[i] for i in self.occupied]
+        lost = sum(len(server.open) - len(server.held(self.now)) for server in occupied)
         self.in_flight += (self.flying - lost - self.in_flight) * min(1.0, passed / settle)
         self.sending += (self.sent / max(passed, 1.0) - self.sending) * min(1.0, passed / settle)
         self.sent = 0
@@ -407,6 +408,7 @@
         """From now on an attempt is work for its server."""
         late = self.now + STALL * self.usual[job.request.cls]
         server.open[(job.request.id, number)] = job, self.now, late
+        self.occupied.add(server.entry.id)
         self.flying += 1
         self.sent += 1
 
@@ -455,24 +457,23 @@
             # Where servers remember keys, the key's own places come first; one that draws much has more.
             places = 1 + int(self.key_counts.get(key, 0.0) / self.keys_total * self.span * SPREAD)
             first = int(self.random.random() * places)
-            yield self.place(key, first)
-            yield self.place(key, (first + 1) % max(places, 2))
+            yield self.ring.place(key, first)
+            yield self.ring.place(key, (first + 1) % max(places, 2))
         drawn = [self.ours[int(self.random.random() * self.span)] for _ in range(DRAW) if self.ours]
         # Our zone's come first, of them likelier the stronger. If none fits: the stretch, then the fleet.
         far = {i: self.servers[i].entry.zone != self.settings.zone for i in drawn}
         chance = {i: self.random.random() > self.strength(self.servers[i]) for i in drawn}
         yield from sorted(drawn, key=lambda i: (far[i], chance[i]))
         start = self.start + int(self.random.random() * self.span)
-        yield from self.ready[start:] + self.ready[:start]
-
-    def place(self, key: int, number: int) -> int:
-        """A key's place: the next point of the ring."""
-        spot = bisect(self.ring, (mix(key + number * 0x632BE59BD9B4E019 & MASK), 0))
-        return self.ring[spot % len(self.ring)][1]
+        for i in range(len(self.ready)):
+            yield self.ready[(start + i) % len(self.ready)]
 
     def strength(self, server: Server) -> float:
         """What a server can do by listed size and by the learned pace of its kind; the strongest: 1."""
-        return server.entry.size / self.kinds.get(server.entry.kind, 1.0) / self.strongest
+        return self.common_strength(server.entry.size, server.entry.kind)
+
+    def common_strength(self, size: float, kind: int) -> float:
+        return size / self.kinds.get(kind, 1.0) / self.strongest
 
     def usable(self, server: Server, health: Health, held: list[tuple[float, float]]) -> bool:
         if health.rest_until > self.now or (health.rest_until and held):
@@ -563,6 +564,8 @@
         if (uploading := server.uploads.pop(attempt, None)) is not None:  # told of its end before its work
             self.load(server, uploading, outcome.attempt)
         job, sent, _ = server.open.pop(attempt, (None, 0.0, 0.0))
+        if not server.open:
+            self.occupied.discard(outcome.server)
         if job is None:
             return  # told twice, or its answer was the client's already
         self.flying -= 1
@@ -712,28 +715,82 @@
                 self.note(replace(self.servers[server_id].entry, state=State.GONE))
         for entry in event.servers:
             self.note(entry)
-        # Where servers come and go all day, those that are gone must not be kept for ever.
-        known = self.servers.items()
-        self.servers = {i: s for i, s in known if s.entry.state is not State.GONE or s.busy()}
+        self.forget_gone()
         self.measure_fleet()
 
-    def measure_fleet(self) -> None:
-        ready = [self.servers[i] for i in self.ready]
+    def forget_gone(self) -> None:
+        """Where servers come and go all day, those that are gone must not be kept for ever."""
+        for server_id in list(self.gone):
+            server = self.servers.get(server_id)
+            if server is not None and server.entry.state is State.GONE:
+                if server.busy():
+                    continue
+                del self.servers[server_id]
+            self.gone.discard(server_id)
+
+    def measure_fleet(self, whole: bool = False) -> None:
+        """What the fleet can do, and our part of it: from what was touched, or anew from all."""
+        count = len(self.ready)
         # Groups of a few nodes share a stretch of the fleet where each holds little: of few servers a node
         # knows what they hold, and they accept only so many connections. A group places keys alike.
-        sparse = self.need < SPARSE * len(ready)
-        groups = max(1, min(self.settings.group_size // NODES, len(ready) // FEW)) if sparse else 1
+        sparse = self.need < SPARSE * count
+        groups = max(1, min(self.settings.group_size // NODES, count // FEW)) if sparse else 1
         group = self.settings.me * groups // self.settings.group_size
-        self.start = group * len(ready) // groups
-        self.span = max(1, (group + 1) * len(ready) // groups - self.start)
-        self.ours = self.ready[self.start : self.start + self.span]
-        self.warm = max(sum(map(self.cold_share, ready)), 1.0)  # servers, cold ones by what they can do
-        self.strongest *= max(map(self.strength, ready), default=1.0) or 1.0  # a list may give no sizes
-        size = sum(s.entry.size for s in ready) / max(1, len(ready))  # 1 serves one at once
+        start = group * count // groups
+        span = max(1, (group + 1) * count // groups - start)
+        shared = groups > 1 or (start, span) != (0, max(1, count))
+        whole = whole or shared or self.ours is not self.ready
+        self.start, self.span = start, span
+        self.ours = self.ready[start : start + span] if shared else self.ready
+        self.measure_warmth()
+        whole = self.measure_strength() or whole
+        if whole:
+            self.ring.assign({i: self.ring_points(i) for i in self.ours})
+        else:
+            listed = {i: i in self.servers and self.is_ready(i) for i in self.touched}
+            self.ring.update({i: self.ring_points(i) if ours else 0 for i, ours in listed.items()})
+        self.touched.clear()
+
+    def measure_warmth(self) -> None:
+        """How many servers there are, cold ones by what they can do."""
+        shares = {i: self.cold_share(self.servers[i]) for i in self.starting}
+        self.starting = {i for i, share in shares.items() if share < 1.0}
+        self.warm = max(len(self.ready) - sum(1.0 - share for share in shares.values()), 1.0)
+
+    def measure_strength(self) -> bool:
+        """Of those that are ready, by what they have in common; whether the scale has changed."""
+        before, count = self.strongest, max(1, len(self.ready))
+        strengths = {common: self.common_strength(*common) for common in self.sizes}
+        self.strongest *= max(strengths.values(), default=1.0) or 1.0  # a list may give no sizes
+        scale = before / self.strongest
+        self.mean_strength = sum(strengths[c] * n for c, n in self.sizes.items()) * scale / count
+        size = sum(size * n for (size, _), n in self.sizes.items()) / count  # 1 serves one at once
         self.sized = (size if 0.5 <= size <= 8 else 1.0) * self.warm / self.settings.group_size
-        self.mean_strength = sum(map(self.strength, ready)) / max(1, len(ready))
-        points = {i: int(RING_POINTS * self.strength(self.servers[i])) + 1 for i in self.ours}
-        self.ring = sorted((mix(i * 1000003 + point), i) for i in self.ours for point in range(points[i]))
+        return self.strongest != before
+
+    def ring_points(self, server_id: int) -> int:
+        return int(RING_POINTS * self.strength(self.servers[server_id])) + 1
+
+    def is_ready(self, server_id: int) -> bool:
+        return self.servers[server_id].entry.state is State.READY and server_id not in self.cordoned
+
+    def enter(self, server_id: int) -> None:
+        """A server may serve from now on."""
+        entry = self.servers[server_id].entry
+        insort(self.ready, server_id, key=mix)
+        self.sizes[entry.size, entry.kind] += 1
+        self.starting.add(server_id)
+        self.touched.add(server_id)
+
+    def withdraw(self, entry: ServerEntry) -> None:
+        """A server may not serve any more, which was listed so."""
+        del self.ready[bisect_left(self.ready, mix(entry.id), key=mix)]
+        common = entry.size, entry.kind
+        self.sizes[common] -= 1
+        if not self.sizes[common]:
+            del self.sizes[common]
+        self.starting.discard(entry.id)
+        self.touched.add(entry.id)
 
     def note(self, entry: ServerEntry) -> None:
         """Take over one line of the list."""
@@ -743,21 +800,23 @@
             self.servers[entry.id] = Server(entry, self.random.random(), self.now, health)
             if old is not None:
                 self.servers[entry.id].take_over(old)
-        was_ready = old is not None and old.entry.state is State.READY
+        before = None if old is None else old.entry
         self.servers[entry.id].entry = entry
-        if was_ready == (entry.state is State.READY) or entry.id in self.cordoned:
+        if entry.state is State.GONE:
+            self.gone.add(entry.id)
+        if entry.id in self.cordoned:
             return
-        if was_ready:
-            self.ready.remove(entry.id)
-        else:
-            insort(self.ready, entry.id, key=mix)
+        if before is not None and before.state is State.READY:
+            self.withdraw(before)
+        if entry.state is State.READY:
+            self.enter(entry.id)
 
     # Servers that operators take out and call back.
 
     def on_cordon(self, server_id: int) -> None:
         server = self.servers.get(server_id)
-        if server is not None and server.entry.state is State.READY and server_id not in self.cordoned:
-            self.ready.remove(server_id)
+        if server is not None and self.is_ready(server_id):
+            self.withdraw(server.entry)
         self.cordoned.add(server_id)
         self.untried = [i for i in self.untried if i != server_id]
         self.measure_fleet()
@@ -778,5 +837,7 @@
             fresh.take_over(server)
             self.servers[server_id] = fresh
             if was_out and server.entry.state is State.READY:
-                insort(self.ready, server_id, key=mix)
+                self.enter(server_id)
+            if self.is_ready(server_id):
+                self.starting.add(server_id)  # cold again, also where it was never out
         self.measure_fleet()
--- a/tests/test_eventlog.py
+++ b/tests/test_eventlog.py
@@ -61,8 +61,15 @@
     run(test())
     lines = [line for line in caplog.messages if "9b1f03aa5c7e2d41" in line or "upstream_closed" in line]
     names = [match[1] for line in lines if (match := re.match(r"event=(\w+)", line))]
-    assert names == ["attempt_sent", "upstream_closed", "attempt_ended", "refused"]
-    assert "result=full" in lines[2] and "cause=attempts" in lines[3]
+    assert names == [
+        "request_taken",
+        "attempt_sent",
+        "upstream_closed",
+        "attempt_ended",
+        "refused",
+        "answered",
+    ]
+    assert "result=full" in lines[3] and "cause=attempts" in lines[4] and "status=503" in lines[5]
 
 
 def test_a_call_to_discovery_tells_how_it_ended(caplog: pytest.LogCaptureFixture) -> None:
--- /dev/null
+++ b/tests/test_ring.py
@@ -0,0 +1,77 @@
+"""The hash ring: changes cost what changed and end where a ring made anew would be."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cottonhall.interface import (
+    Cordon,
+    Effect,
+    ListKind,
+    RequestClass,
+    ServerEntry,
+    ServerList,
+    Settings,
+    State,
+    Uncordon,
+)
+from cottonhall.ring import HashRing
+from cottonhall.rules import Policy
+
+counts = st.dictionaries(st.integers(1, 40), st.integers(0, 17), max_size=12)
+
+
+@given(st.lists(counts, max_size=6))
+def test_a_ring_that_was_changed_is_the_ring_made_anew(changes: list[dict[int, int]]) -> None:
+    ring, wanted = HashRing(), {100 + i: 17 for i in range(50)}
+    ring.assign(wanted)
+    for change in changes:
+        ring.update(change)
+        wanted |= change
+    fresh = HashRing()
+    fresh.assign(wanted)
+    assert len(ring) == len(fresh) == sum(wanted.values())
+    assert [ring.place(key, n) for key in range(60) for n in (0, 1)] == [
+        fresh.place(key, n) for key in range(60) for n in (0, 1)
+    ]
+
+
+CLASS = RequestClass(aim=1000.0, deadline=2000.0, worth=1.0, effect=Effect.SAFE)
+SETTINGS = Settings(classes=(CLASS,), cold_from=0.2, ramp_time=5000.0, max_attempts=2)
+entries = st.builds(
+    ServerEntry,
+    id=st.integers(1, 30),
+    zone=st.just(0),
+    kind=st.integers(0, 2),
+    cell=st.just(0),
+    state=st.sampled_from(State),
+    size=st.sampled_from([0.0, 1.0, 2.0]),
+    started=st.sampled_from([0.0, 900.0, 2500.0]),
+)
+events = st.lists(
+    st.builds(ServerList, st.sampled_from([ListKind.DELTA, ListKind.FULL]), st.just(1), st.lists(entries))
+    | st.builds(Cordon, st.integers(1, 30))
+    | st.builds(Uncordon, st.integers(1, 30), st.just(1000.0)),
+    max_size=12,
+)
+
+
+@given(events)
+def test_a_fleet_measured_by_its_changes_is_the_fleet_measured_anew(history: list[object]) -> None:
+    policy = Policy(SETTINGS, 1)
+    for step, event in enumerate(history):
+        policy.handle(1000.0 + 100 * step, event)  # type: ignore[arg-type]
+        ready = {
+            i: s.entry
+            for i, s in policy.servers.items()
+            if s.entry.state is State.READY and i not in policy.cordoned
+        }
+        assert set(policy.ready) == set(ready) == set(policy.ours)
+        assert sum(policy.sizes.values()) == len(ready)
+        warm = max(sum(policy.cold_share(policy.servers[i]) for i in ready), 1.0)
+        assert abs(policy.warm - warm) < 1e-9
+        strengths = [policy.strength(policy.servers[i]) for i in ready]
+        assert abs(policy.mean_strength - sum(strengths) / max(1, len(ready))) < 1e-9
+        assert len(policy.ring) == sum(policy.ring_points(i) for i in ready)
+        assert all(s.entry.state is not State.GONE for s in policy.servers.values())
