--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -9,7 +9,6 @@
 import math
 import random
 from bisect import bisect_left, insort
-from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 
@@ -170,7 +169,8 @@
         # What a change of the list touches, so that it costs what changed and not the whole fleet.
         self.touched: set[int] = set()  # servers since the fleet was measured
         self.starting: set[int] = set()  # ready ones that may still be cold
-        self.sizes: Counter[tuple[float, int]] = Counter()  # ready ones by listed size and kind
+        self.alike: dict[tuple[float, int], set[int]] = {}  # ready ones by listed size and kind
+        self.points: dict[tuple[float, int], int] = {}  # on the ring, of each of them
         self.gone: set[int] = set()  # not listed any more, kept while an outcome may still name them
         self.occupied: set[int] = set()  # those that hold attempts of ours
         self.jobs: dict[int, Job] = {}
@@ -280,7 +280,7 @@
             for server in self.servers.values():
                 server.recent /= 2
                 server.slow = (1 + server.slow) / 2
-            self.measure_fleet(whole=True)
+            self.measure_fleet()
         self.set_bands()
         self.set_cut(passed)
         quick = (
@@ -728,8 +728,8 @@
                 del self.servers[server_id]
             self.gone.discard(server_id)
 
-    def measure_fleet(self, whole: bool = False) -> None:
-        """What the fleet can do, and our part of it: from what was touched, or anew from all."""
+    def measure_fleet(self) -> None:
+        """What the fleet can do, and our part of it, from what has changed."""
         count = len(self.ready)
         # Groups of a few nodes share a stretch of the fleet where each holds little: of few servers a node
         # knows what they hold, and they accept only so many connections. A group places keys alike.
@@ -739,16 +739,22 @@
         start = group * count // groups
         span = max(1, (group + 1) * count // groups - start)
         shared = groups > 1 or (start, span) != (0, max(1, count))
-        whole = whole or shared or self.ours is not self.ready
+        whole = shared or self.ours is not self.ready
         self.start, self.span = start, span
         self.ours = self.ready[start : start + span] if shared else self.ready
         self.measure_warmth()
-        whole = self.measure_strength() or whole
+        self.measure_strength()
+        points = {common: self.ring_points(*common) for common in self.alike}
         if whole:
-            self.ring.assign({i: self.ring_points(i) for i in self.ours})
+            self.ring.assign({i: points[self.common(i)] for i in self.ours})
         else:
-            listed = {i: i in self.servers and self.is_ready(i) for i in self.touched}
-            self.ring.update({i: self.ring_points(i) if ours else 0 for i, ours in listed.items()})
+            for common, count in points.items():
+                if self.points.get(common) != count:
+                    self.ring.update(dict.fromkeys(self.alike[common], count))
+            for i in self.touched:
+                ready = i in self.servers and self.is_ready(i)
+                self.ring.update({i: points[self.common(i)] if ready else 0})
+        self.points = points
         self.touched.clear()
 
     def measure_warmth(self) -> None:
@@ -757,28 +763,31 @@
         self.starting = {i for i, share in shares.items() if share < 1.0}
         self.warm = max(len(self.ready) - sum(1.0 - share for share in shares.values()), 1.0)
 
-    def measure_strength(self) -> bool:
-        """Of those that are ready, by what they have in common; whether the scale has changed."""
-        before, count = self.strongest, max(1, len(self.ready))
-        strengths = {common: self.common_strength(*common) for common in self.sizes}
-        self.strongest *= max(strengths.values(), default=1.0) or 1.0  # a list may give no sizes
-        scale = before / self.strongest
-        self.mean_strength = sum(strengths[c] * n for c, n in self.sizes.items()) * scale / count
-        size = sum(size * n for (size, _), n in self.sizes.items()) / count  # 1 serves one at once
+    def measure_strength(self) -> None:
+        """Of those that are ready, by what they have in common."""
+        count = max(1, len(self.ready))
+        most = max((self.common_strength(*common) for common in self.alike), default=1.0)
+        self.strongest *= most or 1.0  # a list may give no sizes
+        whole = sum(self.common_strength(*common) * len(ids) for common, ids in self.alike.items())
+        self.mean_strength = whole / count
+        size = sum(size * len(ids) for (size, _), ids in self.alike.items()) / count  # 1 serves one at once
         self.sized = (size if 0.5 <= size <= 8 else 1.0) * self.warm / self.settings.group_size
-        return self.strongest != before
 
-    def ring_points(self, server_id: int) -> int:
-        return int(RING_POINTS * self.strength(self.servers[server_id])) + 1
+    def ring_points(self, size: float, kind: int) -> int:
+        return int(RING_POINTS * self.common_strength(size, kind)) + 1
+
+    def common(self, server_id: int) -> tuple[float, int]:
+        """What it has in common with others of its strength."""
+        entry = self.servers[server_id].entry
+        return entry.size, entry.kind
 
     def is_ready(self, server_id: int) -> bool:
         return self.servers[server_id].entry.state is State.READY and server_id not in self.cordoned
 
     def enter(self, server_id: int) -> None:
         """A server may serve from now on."""
-        entry = self.servers[server_id].entry
         insort(self.ready, server_id, key=mix)
-        self.sizes[entry.size, entry.kind] += 1
+        self.alike.setdefault(self.common(server_id), set()).add(server_id)
         self.starting.add(server_id)
         self.touched.add(server_id)
 
@@ -786,9 +795,9 @@
         """A server may not serve any more, which was listed so."""
         del self.ready[bisect_left(self.ready, mix(entry.id), key=mix)]
         common = entry.size, entry.kind
-        self.sizes[common] -= 1
-        if not self.sizes[common]:
-            del self.sizes[common]
+        self.alike[common].discard(entry.id)
+        if not self.alike[common]:
+            del self.alike[common]
         self.starting.discard(entry.id)
         self.touched.add(entry.id)
 
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -68,10 +68,10 @@
             if s.entry.state is State.READY and i not in policy.cordoned
         }
         assert set(policy.ready) == set(ready) == set(policy.ours)
-        assert sum(policy.sizes.values()) == len(ready)
+        assert sum(map(len, policy.alike.values())) == len(ready)
         warm = max(sum(policy.cold_share(policy.servers[i]) for i in ready), 1.0)
         assert abs(policy.warm - warm) < 1e-9
         strengths = [policy.strength(policy.servers[i]) for i in ready]
         assert abs(policy.mean_strength - sum(strengths) / max(1, len(ready))) < 1e-9
-        assert len(policy.ring) == sum(policy.ring_points(i) for i in ready)
+        assert len(policy.ring) == sum(policy.ring_points(*policy.common(i)) for i in ready)
         assert all(s.entry.state is not State.GONE for s in policy.servers.values())
