--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -334,6 +334,34 @@
     await asyncio.sleep(6.0)
 
 
+async def moved_again_and_again(play: Play) -> None:
+    await play.start(at_once)
+    await play.serving()
+    news = [play.leaving(), play.catalog.entries[1]]
+    others = [await Catalog(slowly(1.5), list(news), version=2).start() for _ in range(2)]
+    play.told = time.monotonic() + MOVED
+    for number in range(8):
+        play.configure(others[number % 2].port)
+        play.node.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.8)
+    await asyncio.sleep(3.0)
+
+
+async def news_that_trickles(play: Play) -> None:
+    await play.start(at_once)
+    await play.serving()
+    watch = next(call for call in play.catalog.calls if call.watch)
+    line = json.dumps(play.catalog.change(play.leaving())).encode()
+    play.catalog.silent = True
+    play.told = time.monotonic() + MISSED
+    for at in range(8):  # never so slowly that nothing comes for 2 s
+        watch.writer.write(b"1\r\n%b\r\n" % line[at : at + 1])
+        await asyncio.sleep(1.2)
+    play.catalog.silent = False
+    watch.writer.close()
+    await asyncio.sleep(2.0)
+
+
 async def an_older_list_after_the_news(play: Play) -> None:
     await play.start(at_once)
     await play.serving()
@@ -370,6 +398,8 @@
     "a watch that ends, then 8 s a call, pushed": (ended_watch_and_slow_calls, True),
     "SIGHUP to one that takes 6.5 s": (moved_to_a_slow_one, False),
     "SIGHUP with a file that is half written": (moved_by_a_file_that_is_half_written, False),
+    "SIGHUP after SIGHUP": (moved_again_and_again, False),
+    "news that trickles": (news_that_trickles, False),
     "an older list after the news": (an_older_list_after_the_news, False),
     "a list without a version": (a_list_without_a_version, False),
 }
