--- a/cottonhall/rules.py
+++ b/cottonhall/rules.py
@@ -13,10 +13,38 @@
 from dataclasses import dataclass, field, replace
 
 from cottonhall.interface import (
-    MAY_RUN_ON, NEVER_RAN, Action, Began, Cancel, Cordon, Effect, Event, Fail, Group, Limit, ListKind, Log,
-    Outcome, Refuse, Request, Result, Send, ServerEntry, ServerList, Settings, State, Subscribe, Timer,
-    Uncordon, Uploaded, Wake, Withdrawn,
-)  # fmt: skip
+    MAY_RUN_ON,
+    NEVER_RAN,
+    Action,
+    Began,
+    Cancel,
+    Cause,
+    Cordon,
+    DiscoveryReach,
+    Effect,
+    Event,
+    Fail,
+    Group,
+    Limit,
+    ListKind,
+    Log,
+    Outcome,
+    Refuse,
+    Request,
+    Result,
+    Send,
+    ServerEntry,
+    ServerList,
+    Settings,
+    State,
+    Subscribe,
+    Timer,
+    Uncordon,
+    Uploaded,
+    Wake,
+    Withdrawn,
+)
+from cottonhall.membership import MembershipLease
 
 UPKEEP = 50.0  # ms between refreshes of shares and overload; far below any aim
 SHARE_HALF = 5000.0  # ms after which counts of offered work and keys are halved
@@ -173,6 +201,7 @@
         self.never_ran = NEVER_RAN - {Result.FULL} if settings.full_may_have_run else NEVER_RAN
         self.turns: dict[int, Turn] = {}  # by key
         self.moved: list[Turn] = []  # where the next may have its turn
+        self.lease = MembershipLease(settings)  # for how long the list at hand may be routed by
 
     def handle(self, now: float, event: Event) -> list[Action]:
         self.now = now
@@ -183,6 +212,8 @@
             self.on_outcome(event)
         elif isinstance(event, ServerList):
             self.on_list(event)
+        elif isinstance(event, DiscoveryReach):
+            self.lease.note(now, event.reach)
         elif isinstance(event, Withdrawn):
             self.finish(event.id)
         elif isinstance(event, Uploaded):
@@ -225,7 +256,7 @@
             self.keys_total += 1
         score = self.bands[group][0] + self.bands[group][1] * self.random.random()
         if score < self.cut:
-            self.out.append(Refuse(request.id, self.refuse_wait(score)))
+            self.out.append(Refuse(request.id, self.refuse_wait(score), Cause.OVERLOAD))
             return
         job = self.jobs[request.id] = Job(request, self.now, score)
         if request.key and settings.classes[request.cls].in_order:
@@ -255,7 +286,7 @@
         quick = (
             self.x == 0 and self.mean < QUICK * self.least
         )  # else the answer may be slow, and a repeat load
-        if self.settings.may_cancel and quick:
+        if self.settings.may_cancel and quick and self.lease.valid(self.now):
             for server in self.servers.values():
                 self.call_back(server)
 
@@ -346,12 +377,18 @@
             until = latest if ahead or turn.out else min(latest, turn.rest_until)
             self.out.append(Wake(until - self.now, request.id))
             return
-        if not timely or (server := self.pick(job)) is None:
-            self.end(job)
+        if not timely:
+            self.end(job, Cause.NO_TIME if job.tries < self.settings.max_attempts else Cause.ATTEMPTS)
+            return
+        if not self.lease.valid(self.now):
+            self.end(job, Cause.STALE_LIST)
+            return
+        if (server := self.pick(job)) is None:
+            self.end(job, Cause.NO_ENDPOINT)
             return
         if server.entry.id in self.untried:
             self.untried.remove(server.entry.id)
-        within = self.window_left(job)
+        within = min(self.window_left(job), self.lease.send_within(self.now))
         job.out.add(job.tries)
         job.maybe_ran[job.tries] = (self.now, server.entry)
         job.used.append(server.entry.id)
@@ -540,7 +577,7 @@
             or outcome.result == Result.TIMEOUT
             or self.random.random() < max(self.x, self.no_link)
         ):
-            self.end(job)  # resending feeds a jam, also of connections being made
+            self.end(job, Cause.NOT_REPEATED)  # resending feeds a jam, also of connections being made
         else:
             self.attempt(job)
 
@@ -634,12 +671,13 @@
                     rest = REST * 2 ** min(health.strikes, 4) * (0.75 + 0.5 * self.random.random())
                     health.rest_until, health.strikes = self.now + rest, health.strikes + 1
 
-    def end(self, job: Job) -> None:
+    def end(self, job: Job, cause: Cause) -> None:
         """The final answer without an open attempt: refused where that does no harm, else failed."""
         cls = self.settings.classes[job.request.cls]
         safe = cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL)
         wait, number = self.refuse_wait(job.score), job.request.id
-        self.out.append(Refuse(number, wait) if safe or not job.maybe_ran else Fail(number))
+        harmless = safe or not job.maybe_ran
+        self.out.append(Refuse(number, wait, cause) if harmless else Fail(number, cause))
         self.finish(number)
 
     def finish(self, job_id: int) -> None:
