--- a/badgercart/clients.py
+++ b/badgercart/clients.py
@@ -119,7 +119,11 @@
 
     async def start(self) -> asyncio.Server:
         self.socket = self.bind()
-        self.server = await self.loop.create_server(self.connection, sock=self.socket, backlog=BACKLOG)
+        try:
+            self.server = await self.loop.create_server(self.connection, sock=self.socket, backlog=BACKLOG)
+        except OSError:
+            self.socket.close()
+            raise
         self.loop.call_later(LOOK, self.look)
         return self.server
 
@@ -165,6 +169,7 @@
         self.keep_to_limit(None)
 
     def opened(self, client: ClientConnection) -> None:
+        event("client_connected", connection=client.descriptor)
         self.connections.add(client)
         self.silent[client] = self.unproven[client] = self.loop.time()
         self.keep_to_limit(client)
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -7,12 +7,12 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import math
 import random
-import time
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
@@ -27,6 +27,7 @@
 from badgercart.handover import Handover, Shared
 from badgercart.memberlist import Endpoint, MemberList, MemberListReader
 from badgercart.servers import Answer, Attempt, Message, ServerPool, now_ms
+from badgercart.wallclock import WallClock
 from cottonhall import Policy
 from cottonhall.interface import (
     Action,
@@ -66,6 +67,9 @@
 TAKE_FOR = 0.7  # s after SIGTERM in which requests still come: SIGKILL follows a deadline and this long after
 DRAIN_MOST = 60.0  # s after SIGTERM at which the node ends though a client still has not taken its answer
 SHARED_LOOK = 0.1  # s between looks at what another process of this node has written
+LISTEN_FOR = 8.0  # s from the start for which the node tries to listen: it has to be ready within 10 s
+LISTEN_AGAIN = 0.1  # s between those tries
+SHORTAGES = frozenset({errno.ENOBUFS, errno.ENOMEM, errno.EMFILE, errno.ENFILE, errno.EAGAIN})
 LOGGED_CHANGES = 4  # endpoints that a line about a list names
 DRAIN_LOOK = 0.02  # s between looks whether all clients are answered
 
@@ -98,7 +102,7 @@
         self.config = config
         self.loop = loop
         self.policy = Policy(config.settings, config.seed)
-        self.unix_offset = time.time() * 1000 - now_ms()
+        self.clock = WallClock()
         self.held: dict[int, Held] = {}
         self.last_id = 0
         self.events: deque[Event] = deque()
@@ -119,7 +123,7 @@
             loop, config.dial_timeout, config.idle_timeout, servers, self, self.figures, self.room
         )
         self.listener = Listener(loop, config, self, clients, self.room)
-        self.lists = MemberListReader(config.zones, config.kinds, self.unix_offset, now_ms, stable_id)
+        self.lists = MemberListReader(config.zones, config.kinds, self.clock, stable_id)
         self.discovery = Discovery(
             config.discovery, self.take_list, self.take_reach, random.Random(config.seed), loop
         )
@@ -195,6 +199,7 @@
     def answer(self, request_id: int, status: int, extra: bytes = b"") -> None:
         held = self.release(request_id)
         if held is not None:
+            log_event("answered", request=held.message.request_id, status=status)
             self.figures.ended(held.cls, status)
             held.client.answer(status, extra=extra)
 
@@ -231,6 +236,13 @@
             due += 1000 * MAX_BODY / LEAST_RATE
         self.held[request_id] = Held(client, request.message, request.cls, due, request.timeout, uploading)
         cls, key, tenant = request.cls, request.key, request.tenant
+        log_event(
+            "request_taken",
+            request=request.message.request_id,
+            connection=client.descriptor,
+            cls=cls,
+            ms_left=due - now_ms(),
+        )
         self.tell(Request(request_id, cls, due, key, tenant, request.hint, request.repeat, uploading))
 
     def uploaded(self, client: ClientConnection, request_id: int) -> None:
@@ -269,6 +281,7 @@
                 held.client.break_off()
         elif held is not None and result is Result.OK and answer is not None:
             del self.held[request_id]
+            log_event("answered", request=held.message.request_id, status=200)
             self.figures.ended(held.cls, 200)
             held.client.answer(200, answer.body, answer.content_type)
         over, elapsed = request_id not in self.held, now_ms() - attempt.started
@@ -329,7 +342,7 @@
                 self.listed.discard(endpoint.entry.id)
             else:
                 self.listed.add(endpoint.entry.id)
-                self.by_server.listed(endpoint.entry.id, endpoint.name, endpoint.entry.started)
+                self.by_server.listed(endpoint.entry.id, endpoint.name, endpoint.started_at)
         self.by_server.keep(self.listed)
         if endpoints or members.kind is not ListKind.DELTA:
             self.log_list(members)
@@ -348,12 +361,13 @@
         version = "without a version" if members.version is None else members.version
         log.info("list %s, %s: %s%s", version, members.kind.name.lower(), changed, more)
 
-    def take_reach(self, reach: Reach) -> None:
+    def take_reach(self, reach: Reach, since: float) -> None:
         """How the connection to discovery stands: for how long the list may be routed by is the module's."""
         if reach is Reach.CONFIRMED:
             self.told.set()
         held = self.policy.lease.valid(now_ms())
-        self.tell(DiscoveryReach(reach))
+        # Seconds of the loop's clock, which may be cached since the turn began: as a span before now.
+        self.tell(DiscoveryReach(reach, now_ms() - 1000 * (self.loop.time() - since)))
         if held != self.policy.lease.valid(now_ms()):
             log.info("the list %s: discovery is %s", "has run out" if held else "holds again", reach.value)
 
@@ -408,17 +422,22 @@
     def report_servers(self, _: bytes) -> Reply:
         out = Counter(attempt.server.id for attempt in self.pool.attempts.values())
         self.handover.look()  # the other process may have been called
-        return 200, self.by_server.report(out, self.handover.shared.cordoned, self.unix_offset)
+        return 200, self.by_server.report(out, self.handover.shared.cordoned)
 
     def cordon(self, body: bytes) -> Reply:
         return self.change_shared(body, "cordoned", lambda shared, name: shared.without(name))
 
     def uncordon(self, body: bytes) -> Reply:
-        now = time.time() * 1000
-        forget = now - self.config.settings.ramp_time
+        now = now_ms()
 
         def edit(shared: Shared, name: str) -> Shared:
-            return shared.with_back(name, now, forget) if name in shared.cordoned else shared
+            if name not in shared.cordoned:
+                return shared
+            warm = now - self.config.settings.ramp_time
+            forget = {
+                other for other, at in shared.returned.items() if self.handover.returned_at(other, at) <= warm
+            }
+            return shared.with_back(name, self.handover.stamp_return(name, now), forget)
 
         return self.change_shared(body, "serves again", edit)
 
@@ -450,7 +469,7 @@
         for name, at in sorted(shared.returned.items()):
             if before.returned.get(name) != at:
                 log.info("%s is back", name)
-                self.tell(Uncordon(stable_id(name.encode()), at - self.unix_offset))
+                self.tell(Uncordon(stable_id(name.encode()), self.handover.returned_at(name, at)))
 
     def look_at_shared(self) -> None:
         self.loop.call_later(SHARED_LOOK, self.look_at_shared)
@@ -488,14 +507,26 @@
 
     async def start(self) -> None:
         if self.config.admin is not None:
-            self.door = await Door(self.loop, self.calls()).start(self.config.admin)
+            door, address = Door(self.loop, self.calls()), self.config.admin
+            self.door = await self.persist(lambda: door.start(address))
             self.look_at_shared()
         self.watch = self.loop.create_task(self.discovery.run())
         if self.handover.others:
             await self.wait_to_succeed()
-        self.server = await self.listener.start()
+        self.server = await self.persist(self.listener.start)
         log.info("%s listens on %s:%d", self.config.name, *self.server.sockets[0].getsockname()[:2])
 
+    async def persist(self, listen: Callable[[], Awaitable[asyncio.Server]]) -> asyncio.Server:
+        """Listen, and try again while the system is short of what that takes."""
+        while True:
+            try:
+                return await listen()
+            except OSError as error:
+                if error.errno not in SHORTAGES or self.loop.time() - self.born > LISTEN_FOR:
+                    raise
+                log.warning("not listening yet: %s", error)
+            await asyncio.sleep(LISTEN_AGAIN)
+
     async def wait_to_succeed(self) -> None:
         """While the old process serves, nothing may come to this one that it can't serve as well."""
         self.share_room()
