Name in a call's log line the address that it was made to, also after a move

Cause: Call read the client's address when it ended, so a call that SIGHUP cancels was logged at the new address. Change: the call keeps its own. A comment that the formatter had split from ANSWER_TIME stands above it again.

--- a/badgercart/discovery.py
+++ b/badgercart/discovery.py
@@ -21,10 +21,9 @@
 # nothing for this long, in s, is opened anew: not for a line that comes a little late, and in time for a call
 # that waits 3 s for its turn.
 SILENCE = BEAT + 0.5
-ANSWER_TIME = (
-    10.0  # s for the first of an answer. Calls of many nodes wait for one another, and who gives one
-)
-# up waits from the end of the line again.
+# s for the first of an answer. Calls of many nodes wait for one another, and who gives one up waits from the
+# end of the line again.
+ANSWER_TIME = 10.0
 SECOND_CALL = 3.5  # s without an answer after which a second call is made beside the first: that may be lost
 WAITING = 0.3  # s without an answer after which discovery, which has taken the connection, lets the call wait
 DOWN_WITHIN = 1.0  # s in which a call fails that finds discovery down; one that has waited takes longer
@@ -116,6 +115,7 @@
 
     def __init__(self, client: Discovery, whole: bool) -> None:
         self.client = client
+        self.address = client.address  # the client may move while the call is under way
         self.whole = whole
         self.path = PATH if whole else f"{PATH}?watch=1&from={client.version}"
         self.begun = client.loop.time()
@@ -157,14 +157,14 @@
         log.info(
             "discovery: GET %s at %s:%d ended (%s) after %.3f s, first answered %s",
             self.path,
-            *self.client.address,
+            *self.address,
             ended,
             self.client.loop.time() - self.begun,
             first,
         )
 
     async def exchange(self) -> None:
-        host, port = self.client.address
+        host, port = self.address
         async with asyncio.timeout(CALL_TIME):
             reader, writer = await asyncio.open_connection(host, port)
         self.connected = True
