--- a/flaxstep/rig/shim/syscalls.c
+++ b/flaxstep/rig/shim/syscalls.c
@@ -2,11 +2,13 @@
  *
  * Loaded by LD_PRELOAD. RIG_FAULTS holds rules, separated by commas: CALL:ERRNO:FIRST:LAST, where the calls
  * numbered FIRST to LAST of CALL (from 1, counted in this process) fail with the number ERRNO and do nothing.
- * CALL is one of accept4, socket, connect. Calls that no rule names go to the C library.
+ * CALL is one of accept4, socket, connect; connect@PORT counts the calls to that IPv4 port alone. Calls that
+ * no rule names go to the C library.
  */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
+#include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -14,9 +16,11 @@
 #define MOST_RULES 32
 
 struct rule {
-    char call[16];
+    char call[24];
+    int port; /* 0: any */
     int error;
     long first, last;
+    long count;
 };
 
 static struct rule rules[MOST_RULES];
@@ -31,10 +35,15 @@
          word = strtok_r(NULL, ",", &rest)) {
         struct rule *rule = &rules[rule_count];
         char *colon = strchr(word, ':');
+        char *at;
         if (colon == NULL || (size_t)(colon - word) >= sizeof rule->call)
             continue;
         memcpy(rule->call, word, colon - word);
         rule->call[colon - word] = 0;
+        if ((at = strchr(rule->call, '@')) != NULL) {
+            rule->port = (int)strtol(at + 1, NULL, 10);
+            *at = 0;
+        }
         rule->error = (int)strtol(colon + 1, &colon, 10);
         rule->first = *colon == ':' ? strtol(colon + 1, &colon, 10) : 1;
         rule->last = *colon == ':' ? strtol(colon + 1, &colon, 10) : rule->first;
@@ -43,30 +52,34 @@
     free(copy);
 }
 
-/* Whether this call fails: errno is set then. */
-static int fails(const char *call, long *count) {
-    long number = __atomic_add_fetch(count, 1, __ATOMIC_RELAXED);
-    for (int i = 0; i < rule_count; i++)
-        if (strcmp(rules[i].call, call) == 0 && rules[i].first <= number && number <= rules[i].last) {
-            errno = rules[i].error;
-            return 1;
+/* Whether a call, to that port if it has one, fails: errno is set then. */
+static int fails(const char *call, int port) {
+    int failing = 0;
+    for (int i = 0; i < rule_count; i++) {
+        struct rule *rule = &rules[i];
+        long number;
+        if (strcmp(rule->call, call) != 0 || (rule->port != 0 && rule->port != port))
+            continue;
+        number = __atomic_add_fetch(&rule->count, 1, __ATOMIC_RELAXED);
+        if (!failing && rule->first <= number && number <= rule->last) {
+            errno = rule->error;
+            failing = 1;
         }
-    return 0;
+    }
+    return failing;
 }
 
 #define REAL(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
 
 int accept4(int fd, struct sockaddr *address, socklen_t *length, int flags) {
-    static long count;
-    return fails("accept4", &count) ? -1 : REAL(accept4)(fd, address, length, flags);
+    return fails("accept4", 0) ? -1 : REAL(accept4)(fd, address, length, flags);
 }
 
 int socket(int domain, int type, int protocol) {
-    static long count;
-    return fails("socket", &count) ? -1 : REAL(socket)(domain, type, protocol);
+    return fails("socket", 0) ? -1 : REAL(socket)(domain, type, protocol);
 }
 
 int connect(int fd, const struct sockaddr *address, socklen_t length) {
-    static long count;
-    return fails("connect", &count) ? -1 : REAL(connect)(fd, address, length);
+    int port = address->sa_family == AF_INET ? ntohs(((const struct sockaddr_in *)address)->sin_port) : 0;
+    return fails("connect", port) ? -1 : REAL(connect)(fd, address, length);
 }
--- /dev/null
+++ b/tests/shim.py
@@ -0,0 +1,17 @@
+"""Builds the C library that makes system calls of a node's process fail (`flaxstep/rig/shim`)."""
+
+from __future__ import annotations
+
+import subprocess
+from pathlib import Path
+
+SOURCE = Path(__file__).parent.parent / "flaxstep" / "rig" / "shim" / "syscalls.c"
+
+
+def build_shim(folder: Path) -> Path:
+    """The library, built below `folder`."""
+    built = folder / "syscalls.so"
+    subprocess.run(
+        ["cc", "-shared", "-fPIC", "-O2", "-Wall", "-Werror", "-o", built, SOURCE, "-ldl"], check=True
+    )
+    return built
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -53,8 +53,10 @@
 
     def send(self, listing: dict[str, Any] | None) -> None:
         """A line of a watch; None is an empty one."""
-        line = (b"" if listing is None else json.dumps(listing).encode()) + b"\n"
-        self.writer.write(b"%x\r\n%b\r\n" % (len(line), line))
+        self.send_raw((b"" if listing is None else json.dumps(listing).encode()) + b"\n")
+
+    def send_raw(self, data: bytes) -> None:
+        self.writer.write(b"%x\r\n%b\r\n" % (len(data), data))
 
     def open(self) -> None:
         self.writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
@@ -79,11 +81,21 @@
     calls: list[Call] = field(default_factory=list)
     tasks: set[asyncio.Future[Any]] = field(default_factory=set)
 
-    async def start(self) -> Catalog:
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> Catalog:
+        """Listen, at a port that was used or reserved before if one is given."""
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port, reuse_port=bool(port))
         self.port: int = self.server.sockets[0].getsockname()[1]
         return self
 
+    async def go_away(self) -> None:
+        """The process dies: open calls are reset and new ones refused."""
+        self.server.close()
+        self.end_calls()
+
+    def end_calls(self) -> None:
+        for call in self.calls:
+            call.writer.transport.abort()
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with suppress(asyncio.IncompleteReadError, ConnectionError):
             head = await reader.readuntil(b"\r\n\r\n")
@@ -133,7 +145,9 @@
     told: float = 0.0  # when the news counts as told
     begun: float = 0.0
     ready: float = 0.0
+    ended: float = 0.0
     log: bytes = b""
+    environ: Callable[[int], dict[str, str]] = lambda port: {}  # further variables, by discovery's port
 
     @property
     def catalogue_entries(self) -> list[Entry]:
@@ -153,7 +167,7 @@
         self.begun = time.monotonic()
         self.node = await asyncio.create_subprocess_exec(
             *COMMAND,
-            env=os.environ | {"ROUTER_CONFIG": str(self.path)},
+            env=os.environ | {"ROUTER_CONFIG": str(self.path)} | self.environ(self.catalog.port),
             stderr=asyncio.subprocess.PIPE,
         )
         self.reading = asyncio.create_task(self.read_log())
@@ -205,6 +219,7 @@
         await self.until(lambda: all(self.arrivals) and any(call.watch for call in self.catalog.calls))
 
     async def stop(self) -> None:
+        self.ended = time.monotonic()
         self.asking.cancel()
         if self.node.returncode is None:
             self.node.kill()
--- a/tests/test_syscalls.py
+++ b/tests/test_syscalls.py
@@ -7,7 +7,6 @@
 import json
 import os
 import re
-import subprocess
 from contextlib import suppress
 from pathlib import Path
 
@@ -15,18 +14,13 @@
 import uvloop
 
 from tests.net import Agent, Peer, request
+from tests.shim import build_shim
 from tests.test_process import connect, log_line, raw_config, started
 
-SHIM = Path(__file__).parent.parent / "flaxstep" / "rig" / "shim" / "syscalls.c"
-
 
 @pytest.fixture(scope="module")
 def shim(tmp_path_factory: pytest.TempPathFactory) -> Path:
-    built = tmp_path_factory.mktemp("shim") / "syscalls.so"
-    subprocess.run(
-        ["cc", "-shared", "-fPIC", "-O2", "-Wall", "-Werror", "-o", built, SHIM, "-ldl"], check=True
-    )
-    return built
+    return build_shim(tmp_path_factory.mktemp("shim"))
 
 
 def environ(shim: Path, faults: str) -> dict[str, str]:
