--- a/badgercart/__main__.py
+++ b/badgercart/__main__.py
@@ -32,6 +32,7 @@
         self.again: asyncio.TimerHandle | None = None
 
     def on_signal(self) -> None:
+        log.info("SIGHUP: the configuration is read again")
         if self.again is not None:
             self.again.cancel()
         self.read(told="")
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -366,10 +366,14 @@
         """How the connection to discovery stands: for how long the list may be routed by is the module's."""
         if reach is Reach.CONFIRMED:
             self.told.set()
-        held = self.policy.lease.valid(now_ms())
+        lease, now = self.policy.lease, now_ms()
+        held, before = lease.valid(now), lease.expires - now
         # Seconds of the loop's clock, which may be cached since the turn began: as a span before now.
         self.tell(DiscoveryReach(reach, now_ms() - 1000 * (self.loop.time() - since)))
-        if held != self.policy.lease.valid(now_ms()):
+        left = lease.expires - now
+        if reach is not Reach.CONFIRMED or not held:  # a line for each beat of a watch would hide the rest
+            log.info("list lease: %s; %.3f s left, %.3f before", reach.value, left / 1000, before / 1000)
+        if held != lease.valid(now_ms()):
             log.info("the list %s: discovery is %s", "has run out" if held else "holds again", reach.value)
 
     # From operators.
