--- a/badgercart/memberlist.py
+++ b/badgercart/memberlist.py
@@ -12,7 +12,7 @@
 from badgercart.config import Address, parse_address
 from badgercart.wallclock import WallClock
 from cottonhall.interface import ListKind, ServerEntry, State
-from cottonhall.membership import Membership
+from cottonhall.membership import MAX_TOMBSTONES, Membership
 
 STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
 MAX_TOLD = 1024  # faults that are remembered so that each is logged once
@@ -39,6 +39,14 @@
     endpoints: list[Endpoint]
 
 
+@dataclass(slots=True, frozen=True)
+class Start:
+    """When an endpoint started, as first listed."""
+
+    unix: float  # ms
+    monotonic: float
+
+
 @dataclass(slots=True)
 class _Fault:
     """A field that can't be read."""
@@ -58,6 +66,7 @@
     stable_id: Callable[[bytes], int]
     membership: Membership = field(default_factory=Membership)
     known: dict[int, Endpoint] = field(default_factory=dict)
+    starts: OrderedDict[int, Start] = field(default_factory=OrderedDict)  # also of those that have left
     told: OrderedDict[str, None] = field(default_factory=OrderedDict)  # faults that were logged
 
     def read(self, raw: Any, kind: ListKind | None) -> MemberList:
@@ -141,7 +150,7 @@
             cell=self._cell(name, line.get("cell", -1)),
             state=state,
             size=self._size(name, line.get("weight", 1.0), old),
-            started=self._started(started_at, old),
+            started=self._started(endpoint_id, started_at),
         )
         return Endpoint(entry, address, name, started_at)
 
@@ -183,11 +192,18 @@
         self._log(_Fault(name, "startedAtMs", value))
         return self.clock.unix() if old is None else old.started_at
 
-    def _started(self, started_at: float, old: Endpoint | None) -> float:
-        """The same on the monotonic clock. What was known stays, whatever has become of Unix time."""
-        if old is not None and old.started_at == started_at:
-            return old.entry.started
-        return self.clock.moment(started_at) if started_at else 0.0
+    def _started(self, endpoint_id: int, unix: float) -> float:
+        """The same on the monotonic clock. What was known stays, whatever has become of Unix time.
+
+        Also of an endpoint that has left: an older list that names it again tells of no new start.
+        """
+        start = self.starts.pop(endpoint_id, None)
+        if start is None or start.unix != unix:
+            start = Start(unix, self.clock.moment(unix) if unix else 0.0)
+        self.starts[endpoint_id] = start
+        while len(self.starts) > len(self.known) + MAX_TOMBSTONES:
+            self.starts.popitem(last=False)
+        return start.monotonic
 
     def _log(self, fault: _Fault) -> None:
         words = f"{fault.name}: {fault.key} is {str(fault.value)[:80]!r}"
--- a/tests/test_memberlist.py
+++ b/tests/test_memberlist.py
@@ -137,3 +137,22 @@
     lists.read(listing(entry("s-1")), None)
     line = json.loads(json.dumps(listing(*others, entry("s-1", lifecycle="leaving"), generation=2)))
     assert states(lists.read(line, None))["s-1"] is State.DRAINING
+
+
+@pytest.mark.parametrize("told", ["leaving", "left", "not named"])
+@pytest.mark.parametrize("step", [-17_000.0, 0.0, 3_600_000.0])
+def test_an_older_list_takes_no_drain_back_whatever_the_wall_clock_does(told: str, step: float) -> None:
+    """The start that the older list tells is the one known before, also where Unix time has been stepped."""
+    times = {"unix": UNIX_OFFSET + NOW, "monotonic": NOW}
+    clock = WallClock(lambda: times["unix"], lambda: times["monotonic"])
+    lists = MemberListReader({"a": 0}, {"m": 0}, clock, stable_id)
+    lists.read(listing(entry("s-1"), entry("s-2")), ListKind.FULL)
+    news = [entry("s-2")] if told == "not named" else [entry("s-1", lifecycle=told), entry("s-2")]
+    lists.read(listing(*news, generation=3), ListKind.FULL)
+    lists.read(listing(entry("s-2"), generation=4), ListKind.FULL)
+    times["unix"] += 30_000.0 + step
+    times["monotonic"] += 30_000.0
+    older = lists.read(listing(entry("s-1"), entry("s-2"), generation=2), ListKind.FULL)
+    assert states(older)["s-1"] is not State.READY
+    restarted = lists.read(listing(entry("s-1", startedAtMs=UNIX_OFFSET + 9000), generation=2), ListKind.FULL)
+    assert states(restarted)["s-1"] is State.READY
