Read the shared folder again after a failed read, and leave out who could not be written

Same class as the incident: 'could not look' was taken for 'nothing there', and a thing was marked as done before it was done. Now each look repeats what failed, a process accepts no client before it has seen the folder (5 s at most), and a cordon that can't be written holds in its process and is written later; the call still answers 503. Tests: three calls by three errors, a node that starts on a folder with EIO; all fail without.

--- a/badgercart/handover.py
+++ b/badgercart/handover.py
@@ -16,6 +16,7 @@
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 MAX_FILE = 1 << 20  # bytes; what is larger was not written here
 LOCK_TIME = 0.1  # s to wait for the lock: whoever holds it needs far less
@@ -23,6 +24,12 @@
 log = logging.getLogger("badgercart")
 
 
+def load_limited(data: bytes) -> Any:
+    if len(data) > MAX_FILE:
+        raise ValueError("over the limit")
+    return json.loads(data)
+
+
 @dataclass(slots=True, frozen=True)
 class Shared:
     """What operators have said, by the servers' names."""
@@ -46,7 +53,7 @@
     @classmethod
     def from_json(cls, data: bytes) -> Shared:
         """ValueError at anything but what to_json writes."""
-        raw = json.loads(data)
+        raw = load_limited(data)
         if not isinstance(raw, dict) or raw.keys() != {"cordoned", "returned"}:
             raise ValueError("not an object with cordoned and returned")
         cordoned, returned = raw["cordoned"], raw["returned"]
@@ -69,7 +76,7 @@
 
 def moments_from_json(data: bytes) -> dict[str, Moment]:
     """ValueError at anything but what write_moments writes."""
-    raw = json.loads(data)
+    raw = load_limited(data)
     if not isinstance(raw, dict):
         raise ValueError("not an object")
     moments = {}
@@ -92,6 +99,10 @@
         stem = "badgercart-" + name.encode().hex()
         self.stem = stem + "."
         self.presence: int | None = None  # descriptor of the own lock
+        self.looked = folder is None  # the latest look saw all there is
+        self.closed = False
+        self.trouble = ""  # what was last said to be wrong with the folder
+        self.unwritten: frozenset[str] = frozenset()  # who is out here, and not yet in the file
         self.moments: dict[str, Moment] = {}  # of the returns, by name
         if folder is not None:
             self.file, self.lock = folder / f"{stem}.json", folder / f"{stem}.lock"
@@ -99,34 +110,60 @@
             self.own = folder / f"{stem}.{os.getpid()}-{time.monotonic_ns()}.alive"
 
     def start(self) -> None:
-        if self.folder is None:
-            return
-        try:
-            with self.locked():
-                for path in self.presences():
-                    if not held(path):  # its process was killed
-                        path.unlink(missing_ok=True)
-                self.presence = os.open(self.own, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
-                fcntl.flock(self.presence, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError as error:
-            log.warning("%s: %s; a successor will not see this process", self.folder, error)
         self.look()
 
+    def announce(self) -> None:
+        """Let other processes see this one. OSError if they can't yet."""
+        with self.locked():
+            for path in self.presences():
+                if not held(path):  # its process was killed
+                    path.unlink(missing_ok=True)
+            descriptor = os.open(self.own, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+            try:
+                fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            except OSError:
+                os.close(descriptor)
+                raise
+            self.presence = descriptor
+
     def close(self) -> None:
+        self.closed = True
         if self.presence is not None:
             self.own.unlink(missing_ok=True)
             os.close(self.presence)
             self.presence = None
 
     def look(self) -> None:
-        """Take up what another process has written, and see whether one runs."""
+        """Take up what another process has written, and see whether one runs.
+
+        What can't be looked at now is looked at again: unseen does not mean that nothing is there.
+        """
         if self.folder is None:
             return
+        troubles = [self.attempt(step) for step in (self.take, self.see_others, self.catch_up)]
+        trouble = "; ".join(filter(None, troubles))
+        self.looked = not any(troubles[:2])
+        if trouble and trouble != self.trouble:
+            log.warning("%s: %s; it is tried again", self.folder, trouble)
+        self.trouble = trouble
+
+    def attempt(self, step: Callable[[], None]) -> str:
+        """What kept a step from being done; empty: nothing."""
         try:
-            self.others = any(held(path) for path in self.presences())
+            step()
         except OSError as error:
-            log.warning("%s: %s", self.folder, error)
-        self.take()
+            return str(error)
+        return ""
+
+    def see_others(self) -> None:
+        self.others = any(held(path) for path in self.presences())
+
+    def catch_up(self) -> None:
+        """Do what could not be done so far: be seen, and write down who is out."""
+        if self.presence is None and not self.closed:
+            self.announce()
+        if self.unwritten:
+            self.change(lambda shared: shared)
 
     def change(self, edit: Callable[[Shared], Shared]) -> None:
         """Keep a change, then let it hold. OSError, and nothing changed, if it can't be kept."""
@@ -138,9 +175,19 @@
             shared = edit(self.shared)
             self.write_moments(shared)  # first: who sees the return has its moment
             replace_file(self.file, shared.to_json())
-            self.stamp = self.read_stamp()
+            self.unwritten = frozenset()
+            with suppress(OSError):  # it is read once more then
+                self.stamp = file_stamp(self.file)
         self.hold(shared)
 
+    def leave_out(self, name: str) -> None:
+        """Take a server out here, though it could not be kept; it is written down as soon as it can be.
+
+        The rule on a server that operators take out runs from 1 s after their call, whatever the answer.
+        """
+        self.unwritten |= {name}
+        self.hold(self.shared)
+
     # When servers were called back. The shared file has Unix times, as versions before read and write it; the
     # wall clock may be stepped, so a file beside it has the same moments on the monotonic clock.
 
@@ -167,34 +214,34 @@
             self.moments |= moments_from_json(read_limited(self.moments_file))
         except FileNotFoundError:
             pass  # a version before has written the shared file
-        except (OSError, ValueError, RecursionError) as error:
+        except (ValueError, RecursionError) as error:
             log.warning("%s: %s; Unix times have to do", self.moments_file, error)
 
     def hold(self, shared: Shared) -> None:
+        for name in self.unwritten:
+            shared = shared.without(name)
         before, self.shared = self.shared, shared
         if shared != before:
             self.on_change(before, shared)
 
     def take(self) -> None:
-        stamp = self.read_stamp()
+        """Take up the file if it is another than the one last taken up; OSError if it can't be read now."""
+        stamp = file_stamp(self.file)
         if stamp is None or stamp == self.stamp:
             return
-        self.stamp = stamp
+        data = read_limited(self.file)
         try:
-            shared = Shared.from_json(read_limited(self.file))
-        except (OSError, ValueError, RecursionError) as error:
+            shared = Shared.from_json(data)
+        except (ValueError, RecursionError) as error:
+            self.stamp = stamp  # it stays as it is until it is replaced
             log.warning("%s: %s; what held before holds on", self.file, error)
             return
+        # Who is out must be known at once; when others came back is told by the second file.
+        self.hold(Shared(shared.cordoned, self.shared.returned))
         self.read_moments()
+        self.stamp = stamp
         self.hold(shared)
 
-    def read_stamp(self) -> tuple[int, int] | None:
-        try:
-            status = self.file.stat()
-        except OSError:
-            return None
-        return status.st_mtime_ns, status.st_ino
-
     def presences(self) -> list[Path]:
         assert self.folder is not None
         names = [
@@ -221,12 +268,18 @@
 
 
 def read_limited(path: Path) -> bytes:
-    """A file of ours; ValueError at one that is too large to be."""
+    """A file of ours, or as much of it as shows that it is too large to be one."""
     with path.open("rb") as file:
-        data = file.read(MAX_FILE + 1)
-    if len(data) > MAX_FILE:
-        raise ValueError("over the limit")
-    return data
+        return file.read(MAX_FILE + 1)
+
+
+def file_stamp(path: Path) -> tuple[int, int] | None:
+    """What changes when the file is replaced; None if there is none. OSError if that can't be seen."""
+    try:
+        status = path.stat()
+    except FileNotFoundError:
+        return None
+    return status.st_mtime_ns, status.st_ino
 
 
 def replace_file(path: Path, data: bytes) -> None:
--- a/badgercart/node.py
+++ b/badgercart/node.py
@@ -434,7 +434,9 @@
         return 200, self.by_server.report(out, self.handover.shared.cordoned)
 
     def cordon(self, body: bytes) -> Reply:
-        return self.change_shared(body, "cordoned", lambda shared, name: shared.without(name))
+        return self.change_shared(
+            body, "cordoned", lambda shared, name: shared.without(name), self.handover.leave_out
+        )
 
     def uncordon(self, body: bytes) -> Reply:
         now = now_ms()
@@ -450,7 +452,14 @@
 
         return self.change_shared(body, "serves again", edit)
 
-    def change_shared(self, body: bytes, done: str, edit: Callable[[Shared, str], Shared]) -> Reply:
+    def change_shared(
+        self,
+        body: bytes,
+        done: str,
+        edit: Callable[[Shared, str], Shared],
+        not_kept: Callable[[str], None] | None = None,
+    ) -> Reply:
+        """Carry a call out; `not_kept` is told the server's name if the change can't be written down."""
         try:
             name = body.decode().strip()
         except UnicodeDecodeError:
@@ -465,7 +474,10 @@
             self.handover.change(lambda shared: edit(shared, name))
         except OSError as error:
             log.warning("%s: not %s: %s", name, done, error)
-            return 503, f"not kept, so not done: {error}"
+            if not_kept is None:
+                return 503, f"not kept, so not done: {error}"
+            not_kept(name)
+            return 503, f"out here and not kept yet: {error}"
         return 200, f"{name} {done}"
 
     def take_shared(self, before: Shared, shared: Shared) -> None:
@@ -520,6 +532,8 @@
             self.door = await self.persist(lambda: door.start(address))
             self.look_at_shared()
         self.watch = self.loop.create_task(self.discovery.run())
+        while not self.handover.looked and self.loop.time() - self.born < START_MOST:
+            await asyncio.sleep(SHARED_LOOK)  # who is out may stand there
         if self.handover.others:
             await self.wait_to_succeed()
         self.server = await self.persist(self.listener.start)
--- a/tests/test_cordon.py
+++ b/tests/test_cordon.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import os
 from pathlib import Path
 from typing import Any
 
@@ -200,12 +202,25 @@
     second.close()
 
 
-def test_a_call_that_cannot_be_kept_is_a_no_and_changes_nothing(tmp_path: Path) -> None:
+def test_a_call_that_cannot_be_kept_is_a_no_and_the_server_is_out_all_the_same(tmp_path: Path) -> None:
+    """The rule runs from 1 s after the call, and once the file can be written a successor knows it too."""
+
     async def test(stand: Stand) -> None:
         for path in tmp_path.iterdir():
             path.unlink()
         tmp_path.rmdir()
         assert (await stand.call("POST", "cordon", b"s-1"))[0] == 503
+        assert stand.node.policy.cordoned == {stable_id(b"s-1")}
+        assert (await stand.call("POST", "uncordon", b"s-1"))[0] == 503
+        assert stand.node.policy.cordoned == {stable_id(b"s-1")}
+        tmp_path.mkdir()
+        successor = Handover(tmp_path, "n0", lambda before, now: None)
+        async with asyncio.timeout(WAIT):
+            while not successor.shared.cordoned:
+                await asyncio.sleep(0.02)
+                successor.look()
+        successor.close()
+        assert (await stand.call("POST", "uncordon", b"s-1"))[0] == 200
         assert not stand.node.policy.cordoned
 
     async def whole() -> None:
@@ -215,6 +230,57 @@
     run(whole())
 
 
+@pytest.mark.parametrize("call", ["file_stamp", "read_limited", "held"])
+@pytest.mark.parametrize("code", [errno.EIO, errno.EMFILE, errno.ENFILE])
+def test_what_could_not_be_read_once_is_read_at_the_next_look(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, call: str, code: int
+) -> None:
+    """One failed read is no proof that nobody is out, and none that no other process runs."""
+    first = Handover(tmp_path, "n0", lambda before, now: None)
+    first.start()
+    first.change(lambda shared: shared.without("s-1"))
+
+    def fail(path: Path) -> None:
+        raise OSError(code, os.strerror(code))
+
+    second = Handover(tmp_path, "n0", lambda before, now: None)
+    with monkeypatch.context() as failing:
+        failing.setattr(handover, call, fail)
+        second.start()
+        assert not second.looked
+    second.look()
+    assert second.looked and second.others and second.shared.cordoned == {"s-1"}
+    first.look()
+    assert first.others  # and it is seen, though it could not make itself seen at its start
+    first.close()
+    second.close()
+
+
+def test_a_node_takes_no_client_before_it_knows_who_is_out(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    before = Handover(tmp_path, "n0", lambda before, now: None)
+    before.start()
+    before.change(lambda shared: shared.without("s-1"))
+    before.close()
+    read, left = handover.read_limited, [3]
+
+    def fail(path: Path) -> bytes:
+        if left[0]:
+            left[0] -= 1
+            raise OSError(errno.EIO, os.strerror(errno.EIO))
+        return read(path)
+
+    monkeypatch.setattr(handover, "read_limited", fail)
+
+    async def whole() -> None:
+        async with running(await Peer().start(), admin=DOOR, shared=tmp_path) as stand:
+            assert not left[0]
+            assert stand.node.policy.cordoned == {stable_id(b"s-1")}
+
+    run(whole())
+
+
 def test_a_lock_that_hangs_is_given_up(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(handover, "LOCK_TIME", 0.02)
     first, second = (Handover(tmp_path, "n0", lambda before, now: None) for _ in range(2))
