--- a/flaxstep/cli_rig.py
+++ b/flaxstep/cli_rig.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import sys
 import time
+from contextlib import suppress
 from pathlib import Path
 
 import click
@@ -20,10 +22,13 @@
 from flaxstep.rig.play import play
 from flaxstep.rig.report import write_report
 from flaxstep.rig.result import Line, Result, judge_play, write_result
+from flaxstep.rig.soak.run import SoakOutcome, soak
+from flaxstep.rig.soak.timeline import report
 from flaxstep.rig.stage import build
 from flaxstep.rig.standin import RigError
 
 CASES = ("in_time", "late", "refused", "failed", "unserved")
+NOT_RUN_PART = 0.1  # of a soak's plays that may not have been played properly
 ENDED = 130  # exit code after Ctrl-C
 
 
@@ -45,6 +50,52 @@
     sys.exit(1 if result.broken else 0)
 
 
+@rig.command("soak")
+@click.option("--seed", type=click.IntRange(min=0), default=1, show_default=True, help="What is drawn.")
+@click.option("--plays", type=click.IntRange(1, 10_000), default=10, show_default=True)
+@click.option(
+    "--seconds", type=click.FloatRange(8, 600), default=30.0, show_default=True, help="Of each play."
+)
+@click.option("--only", type=click.IntRange(min=0), help="Play this one of them alone.")
+@click.option("--side-by-side", type=click.IntRange(1, 16), default=3, show_default=True)
+@click.option("--out", type=click.Path(path_type=Path), help="Folder for scenarios, records and logs.")
+def soak_command(
+    seed: int, plays: int, seconds: float, only: int | None, side_by_side: int, out: Path | None
+) -> None:
+    """Play drawn farms with drawn faults and judge them. Exit code 1: a rule was broken, or too few were run.
+
+    The same seed draws the same plays. A play that could not be played properly counts as not run; more than
+    one in ten of those fails the soak.
+
+    Example: flaxstep rig soak --seed 7 --plays 50
+    """
+    numbers = list(range(plays)) if only is None else [only]
+    folder = folder_for(out, "soak", seed)
+    outcomes = asyncio.run(run_soak(seed, numbers, seconds, side_by_side, folder))
+    not_run = sum(bool(outcome.trouble) for outcome in outcomes)
+    broken = sum(bool(outcome.breaches) for outcome in outcomes)
+    click.echo(f"{len(outcomes)} plays: {broken} broke a rule, {not_run} not run; records in {folder}")
+    sys.exit(1 if broken or not_run > NOT_RUN_PART * len(outcomes) else 0)
+
+
+async def run_soak(
+    seed: int, numbers: list[int], seconds: float, side_by_side: int, folder: Path
+) -> list[SoakOutcome]:
+    """Play and show each as it ends: a line, and for a breach what every process saw of it."""
+    outcomes = []
+    async for outcome in soak(seed, numbers, seconds, side_by_side, folder):
+        outcomes.append(outcome)
+        drawn = outcome.drawn
+        farm = f"{drawn.nodes} nodes, {drawn.servers} servers, {drawn.zones} zones"
+        click.echo(f"play {drawn.number}: {outcome.verdict}; {farm}; {'; '.join(drawn.faults)}")
+        if outcome.breaches:
+            again = f"flaxstep rig soak --seed {seed} --only {drawn.number} --seconds {seconds:g}"
+            click.echo(f"  again: {again}")
+            for line in report(outcome.folder / "records", outcome.breaches):
+                click.echo(f"  {line}")
+    return outcomes
+
+
 @click.command("demo")
 @click.option("--seed", type=click.IntRange(min=0), default=1, show_default=True, help="Which day is drawn.")
 @click.option("--out", type=click.Path(path_type=Path), help="Folder for records, logs and the report.")
@@ -131,14 +182,27 @@
 
 def folder_for(out: Path | None, name: str, seed: int) -> Path:
     """Where a play's files go: a folder of its own, never one that holds another play."""
-    folder = out or Path("runs") / f"{name}-{seed}-{time.strftime('%Y%m%d-%H%M%S')}"
     try:
-        if folder.exists() and (not folder.is_dir() or any(folder.iterdir())):
-            raise Refusal(f"{folder}: exists already; name an empty folder")
-        folder.mkdir(parents=True, exist_ok=True)
+        if out is None:
+            return new_folder(name, seed)
+        if out.exists() and (not out.is_dir() or any(out.iterdir())):
+            raise Refusal(f"{out}: exists already; name an empty folder")
+        out.mkdir(parents=True, exist_ok=True)
     except OSError as error:
         raise Refusal(f"{error.filename}: {error.strerror}") from None
-    return folder.resolve()
+    return out.resolve()
+
+
+def new_folder(name: str, seed: int) -> Path:
+    """One that nobody else has: two plays may begin in the same second."""
+    stem = f"{name}-{seed}-{time.strftime('%Y%m%d-%H%M%S')}"
+    Path("runs").mkdir(exist_ok=True)
+    for number in itertools.count(1):
+        folder = Path("runs") / (stem if number == 1 else f"{stem}-{number}")
+        with suppress(FileExistsError):
+            folder.mkdir()
+            return folder.resolve()
+    raise AssertionError("there is always a next number")
 
 
 def run_play(path: Path, seed: int, folder: Path) -> Result:
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,86 @@
+"""The soak: what it draws, what it says of a breach, and a short one with fixed seeds."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from flaxstep.cli_rig import NOT_RUN_PART, folder_for, run_soak
+from flaxstep.lab.scenario import parse_scenario
+from flaxstep.rig.record import Asked, Began, Happened, Recorder, Told
+from flaxstep.rig.rules import Breach
+from flaxstep.rig.soak.draw import CALM_S, MOST_FAULTS, START_S, draw_play
+from flaxstep.rig.soak.run import SoakOutcome
+from flaxstep.rig.soak.timeline import report
+from flaxstep.rig.stage import build
+
+PLAYS, SECONDS = 6, 10.0
+
+
+@given(st.integers(0, 1 << 31), st.integers(0, 9999), st.floats(8.0, 600.0))
+def test_every_draw_can_be_played_and_is_the_same_again(seed: int, number: int, seconds: float) -> None:
+    drawn = draw_play(seed, number, seconds)
+    scenario = parse_scenario(drawn.scenario)
+    assert drawn == draw_play(seed, number, seconds)
+    assert 1 <= len(drawn.faults) <= MOST_FAULTS
+    assert 1 <= scenario.fleet.nodes <= 6 and 1 <= scenario.fleet.zones <= 3
+    for fault in scenario.rig.faults:
+        assert isinstance(fault.at_s, float | int) and isinstance(fault.for_s, float | int)
+        assert (
+            fault.at_s >= START_S and fault.at_s + fault.for_s <= max(seconds - CALM_S, START_S + 0.3) + 0.01
+        )
+
+
+def test_draws_differ_by_seed_and_by_number() -> None:
+    found = {draw_play(seed, number, 20.0).scenario for seed in range(4) for number in range(4)}
+    assert len(found) == 16
+
+
+def test_a_breach_is_told_with_what_every_process_saw(tmp_path: Path) -> None:
+    recorder = Recorder(tmp_path / "all.jsonl", 0.0)
+    for record in (
+        Told(1000.0, 0, 2, False, {3: "leaving"}),
+        Told(1000.0, 1, 2, False, {3: "leaving"}),  # another node's
+        Asked(2000.0, 1, 0, "ab", 0, 0, 1234, 3000.0, False, 2000.0),
+        Began(2004.0, "ab", "", 3, "v1", 1, 1, 2003.0, 20.0),
+        Began(2004.0, "cd", "", 3, "v1", 1, 1, 2003.0, 20.0),  # another request
+        Happened(1500.0, "stopped", "node:0"),
+        Happened(1500.0, "stopped", "node:1"),
+    ):
+        recorder.write(record)
+    recorder.close()
+    breaches = [Breach("drain", at, 0, "ab", 3, "453 ms past the grace") for at in (2003.0, 2500.0)]
+    first, *lines = report(tmp_path, breaches)
+    assert first == "drain at 2.003 s, node 0, request ab, server 3: 453 ms past the grace"
+    assert [line.split()[0] for line in lines] == ["1.000", "1.500", "2.000", "2.004"]
+    assert "leaving" in lines[0] and "stopped" in lines[1] and "came whole" in lines[3]
+
+
+@pytest.mark.parametrize(("trouble", "breaches"), [("", 0), ("too busy", 0)])
+def test_a_play_that_was_not_played_properly_is_no_verdict(
+    trouble: str, breaches: int, tmp_path: Path
+) -> None:
+    outcome = SoakOutcome(draw_play(1, 0, 10.0), tmp_path, None, trouble)
+    assert len(outcome.breaches) == breaches
+    assert outcome.verdict.startswith("not run" if trouble else "rules kept")
+
+
+def test_two_plays_of_one_seed_in_one_second_have_folders_of_their_own(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.chdir(tmp_path)
+    folders = {folder_for(None, "demo", 1) for _ in range(5)}
+    assert len(folders) == 5 and all(folder.is_dir() for folder in folders)
+
+
+def test_a_short_soak_breaks_no_rule(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    build()
+    outcomes = asyncio.run(run_soak(2, list(range(PLAYS)), SECONDS, 2, tmp_path))
+    told = capsys.readouterr().out
+    assert len(outcomes) == PLAYS
+    assert not [outcome for outcome in outcomes if outcome.breaches], told
+    assert sum(bool(outcome.trouble) for outcome in outcomes) <= max(1, NOT_RUN_PART * PLAYS), told
