Draw discoveries that close, fall silent, refuse, reset, hang or are slow just when servers leave

Discovery of the rig misbehaves as a fault named listing; it writes down when news that it did not write counts as told all the same, and the judge holds nodes to that until it has come. Servers that leave in such a play stay up, so that a late request is seen. Tests: assumed news against written, older and newer.

--- a/flaxstep/lab/rigging.py
+++ b/flaxstep/lab/rigging.py
@@ -26,8 +26,10 @@
     bytes vanish, connections stay open, new ones never come up. reset: what is open is reset, and what opens,
     as soon as bytes come. refuse: new connections are refused. hold: new connections never come up. kill,
     stop (and go on), term, restart: a process; it is back after `for_s`, unless that is 0. down: discovery
-    resets its calls. clock: a node's clock jumps by `size` s (`way` back: backwards); at 0 s it starts so.
-    disk: a node's folder is full (`size` 0), or fails at every write (1).
+    resets its calls. listing: discovery is there and misbehaves, `how` says in what way: its calls take
+    `size` s (slow), are refused after `size` s, reset, or hang; open watches fall silent, or are closed in
+    place of news, and calls take `size` s then. clock: a node's clock jumps by `size` s (`way` back:
+    backwards); at 0 s it starts so. disk: a node's folder is full (`size` 0), or fails at every write (1).
     """
 
     name: Literal[
@@ -42,6 +44,7 @@
         "term",
         "restart",
         "down",
+        "listing",
         "clock",
         "disk",
     ]
@@ -52,6 +55,7 @@
     of: str = ""
     size: Range = 1.0
     jitter: Natural = 0.0
+    how: Literal["", "slow", "refuse", "reset", "hang", "silent", "close"] = ""  # listing
     keep: bool = True  # kill, term, restart: whether the folder stays
 
 
@@ -95,8 +99,10 @@
         return f"of: {fault.name} is for nodes"
     if fault.name in AGAIN and not fault.of.startswith(("node:", "server:")):
         return f"of: {fault.name} is for nodes and servers"
-    if fault.name == "down" and fault.of != "discovery":
-        return "of: down is for discovery"
+    if fault.name in ("down", "listing") and fault.of != "discovery":
+        return f"of: {fault.name} is for discovery"
+    if (fault.name == "listing") != bool(fault.how):
+        return "how: listing needs it, and nothing else has it"
     most = {"node": nodes, "server": servers, "zone": zones}
     for key, text in [("between", end) for end in fault.between or ()] + [("of", fault.of)] * (
         not fault.between
--- a/flaxstep/lab/scenario.py
+++ b/flaxstep/lab/scenario.py
@@ -192,7 +192,10 @@
     len_s: Range = 0.0
     part: Range = 0.2
     size: Range = 1.0  # slow: times; errors, lost, resets, neighbour: the part; pauses: ms; burst: times
-    extra: Range = 1.0  # pauses: s between; neighbour: s on or off; burst: s of rise; kill: s until back
+    extra: Range = (
+        1.0  # pauses: s between; neighbour: s on or off; burst: s of rise; kill: s until back; replace:
+    )
+    # s (3 at least, on the rig) for which those that leave still run
     steps: Annotated[int, Meta(ge=1)] = 1  # replace, kill: in so many steps over len_s
 
 
--- a/flaxstep/rig/listing.py
+++ b/flaxstep/rig/listing.py
@@ -25,6 +25,11 @@
 BEAT = 2.0  # s between the empty lines of a watch
 HISTORY = 1000  # changes that are kept
 MOST_CALLS = 2000  # that wait
+# When a change counts as told that was not written: after it could be asked for (PROTOCOL, Figures), and
+# after a watch was closed in its place (seen in the incident of 2026-12-03).
+MISSED, CLOSED = 6000.0, 2000.0  # ms
+DOWN = ("refuse", "reset")  # ways to fail calls as a discovery that is down does
+HANG = 3600.0  # s
 
 
 class Listing(StandIn):
@@ -38,6 +43,13 @@
         self.hands = asyncio.Semaphore(max(1, int(config["capacity"])))
         self.waiting = 0
         self.is_down = False
+        self.how, self.size = "", 0.0  # in which way it misbehaves
+        self.silent_since: dict[
+            int, float
+        ] = {}  # by node: its watch says nothing, and no call was answered since
+        self.unheard: list[
+            tuple[int, dict[int, str]]
+        ] = []  # changes while it can't serve: version, lifecycles
         self.calls: set[Call] = set()
         self.tasks = Tasks()
 
@@ -49,7 +61,8 @@
 
     def beat(self) -> None:
         for call in list(self.watches):
-            call.chunk(b"\n")
+            if not call.muted:
+                call.chunk(b"\n")
         self.loop.call_later(BEAT, self.beat)
 
     # What is written.
@@ -60,6 +73,7 @@
         made = {"generation": version, "reset": whole, "instances": instances}
         told = {server: str(entry["lifecycle"]) for server, entry in entries.items()}
         self.recorder.write(Told(self.recorder.now(), node, version, whole, told))
+        self.silent_since.pop(node, None)
         return json.dumps(made).encode() + b"\n"
 
     def since(self, node: int, version: int) -> bytes:
@@ -75,9 +89,15 @@
 
     async def serve(self, call: Call, target: str) -> None:
         """A call takes its turn; one that waited too long, or finds too many before it, gets a 503."""
-        if self.is_down:
+        if self.is_down or self.how == "reset":
             reset(call.transport)
             return
+        if self.how in ("slow", "refuse", "hang", "silent", "close"):
+            refused = self.how == "refuse"
+            await asyncio.sleep(HANG if self.how == "hang" else self.size)
+            if refused:
+                call.answer(b"503 Service Unavailable", b"")
+                return
         if self.waiting >= MOST_CALLS:
             call.answer(b"503 Service Unavailable", b"")
             return
@@ -118,8 +138,46 @@
         else:
             self.entries[server] = entry
         self.changes.append((self.version, server, entry))
+        told = {server: str(entry["lifecycle"])}
+        if self.is_down or self.how in DOWN:
+            self.unheard.append((self.version, told))
+        else:
+            self.assume(self.version, told)
         for call in list(self.watches):
-            self.loop.call_later(self.config["spread_s"] * self.chance(), call.catch_up)
+            late = self.config["spread_s"] * self.chance()
+            if call.muted:
+                continue
+            if self.how == "close":
+                self.loop.call_later(late, call.close_for_news, self.version, told)
+            else:
+                self.loop.call_later(late, call.catch_up)
+
+    def assume(self, version: int, told: dict[int, str]) -> None:
+        """Nodes that nobody writes it to are held to it some time later."""
+        now = self.recorder.now()
+        watched = {call.node for call in self.watches if not call.muted}
+        for node in range(len(self.config["ports"])):
+            if node in watched:
+                continue
+            silent = self.silent_since.get(node)
+            at = now + MISSED if silent is None else max(now, silent + MISSED)
+            self.recorder.write(Told(at, node, version, False, told, assumed=True))
+
+    def do_misbehave(self, how: str, size: float) -> None:
+        self.how, self.size = how, size
+        self.recorder.write(Happened(self.recorder.now(), how or "well again", "discovery"))
+        if how == "silent":
+            for call in self.watches:
+                call.muted = True
+                self.silent_since[call.node] = self.recorder.now()
+        if not how:
+            self.catch_up_on_news()
+
+    def catch_up_on_news(self) -> None:
+        """It can serve again: what it could not tell can be asked for from now on."""
+        unheard, self.unheard = self.unheard, []
+        for version, told in unheard:
+            self.assume(version, told)
 
     def do_down(self) -> None:
         """Watches end, and calls fail, until it is up."""
@@ -131,6 +189,7 @@
     def do_up(self) -> None:
         self.is_down = False
         self.recorder.write(Happened(self.recorder.now(), "up", "discovery"))
+        self.catch_up_on_news()
 
 
 class Call(asyncio.Protocol):
@@ -141,6 +200,7 @@
         self.parser = httptools.HttpRequestParser(self)
         self.target = b""
         self.version = 0  # that the watch has been told
+        self.muted = False  # it has fallen silent for good
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -165,6 +225,13 @@
     def on_message_complete(self) -> None:
         self.listing.tasks.spawn(self.listing.serve(self, self.target.decode("latin-1")))
 
+    def close_for_news(self, version: int, told: dict[int, str]) -> None:
+        """End the watch in good order in place of telling a change."""
+        if self in self.listing.watches:
+            recorder = self.listing.recorder
+            recorder.write(Told(recorder.now() + CLOSED, self.node, version, False, told, assumed=True))
+            self.transport.close()
+
     def answer(self, status: bytes, body: bytes) -> None:
         self.transport.write(b"HTTP/1.1 %b\r\nContent-Length: %d\r\n\r\n%b" % (status, len(body), body))
 
@@ -176,7 +243,7 @@
 
     def catch_up(self) -> None:
         """Write what changed since the last line, if anything did and the watch still stands."""
-        if self in self.listing.watches and self.version < self.listing.version:
+        if self in self.listing.watches and not self.muted and self.version < self.listing.version:
             line = self.listing.since(self.node, self.version)
             self.version = self.listing.version
             self.chunk(line)
--- a/flaxstep/rig/record.py
+++ b/flaxstep/rig/record.py
@@ -130,6 +130,7 @@
     version: int
     whole: bool
     entries: dict[int, str]  # lifecycle by server
+    assumed: bool = False  # it was not written: at that time it counts as told all the same
 
 
 class Happened(Line, frozen=True):
--- a/flaxstep/rig/rules.py
+++ b/flaxstep/rig/rules.py
@@ -147,14 +147,21 @@
     """From when on the node's news forbade this attempt; never, if it did not."""
     started = [line.at for line in story.starts[attempt.node] if line.at <= attempt.first]
     out_since, server = FOREVER, attempt.began.server
+    written = 0  # the newest version that was
     for told in story.told[attempt.node]:
         if told.at > attempt.first or (started and told.at < started[-1]):
             continue
+        if told.assumed and told.version <= written:
+            continue  # it has come meanwhile
+        if not told.assumed:
+            written = max(written, told.version)
         state = told.entries.get(server, "left" if told.whole else "")
         if state == "active":
             out_since = FOREVER
         elif state and out_since == FOREVER:
-            heard = not story.disturbed(f"node:{attempt.node}", "discovery", told.at - 1, told.at + SLACK)
+            heard = told.assumed or not story.disturbed(
+                f"node:{attempt.node}", "discovery", told.at - 1, told.at + SLACK
+            )
             out_since = told.at + (0.0 if heard else NEWS) + rules.drain_grace_ms + SLACK
     return out_since
 
--- a/flaxstep/rig/soak/draw.py
+++ b/flaxstep/rig/soak/draw.py
@@ -15,6 +15,7 @@
 START_S = 2.0  # no fault begins before the traffic flows
 CALM_S = 3.0  # at the end of a play, so that what a fault has done can show
 MOST_FAULTS = 4
+LONG_DRAIN = 20.0  # s: who is sent something late by a stale list is still there to write it down
 EFFECTS = ("safe", "keyed", "unsafe")
 
 
@@ -164,9 +165,8 @@
 
 def draw_fault(draw: Draw) -> Fault:
     """A fault; one that would end a process that another fault ends already is drawn anew."""
-    names = sorted(FAULTS)
     while True:
-        made = FAULTS[names[draw.whole(0, len(names) - 1)]](draw)
+        made = FAULTS[draw.whole(0, len(FAULTS) - 1)](draw)
         if made is not None:
             return made
 
@@ -217,6 +217,20 @@
     return text, f"discovery down at {at:g} s for {lasts:g} s"
 
 
+def listing_fault(draw: Draw) -> Fault | None:
+    """Discovery is there and misbehaves, just when it has news: a server leaves in that time."""
+    if not claimed(draw, "discovery"):
+        return None
+    how = draw.one_of("slow", "refuse", "reset", "hang", "silent", "close")
+    at, lasts = draw.span(10.0)
+    size = draw.between(0.0, 3.0 if how in ("refuse", "reset") else 10.0)
+    text = table("rig.faults", name="listing", of="discovery", how=how, at_s=at, for_s=lasts, size=size)
+    leaves = draw.between(at, at + min(lasts, 2.0))
+    text += "\n" + table("troubles", name="replace", at_s=leaves, part=0.3, extra=LONG_DRAIN)
+    sized = f" ({size:g} s)" if how not in ("reset", "hang") else ""
+    return text, f"discovery {how}{sized} from {at:g} s for {lasts:g} s, servers replaced at {leaves:g} s"
+
+
 def clock_fault(draw: Draw) -> Fault | None:
     whom, way = draw.node(), draw.one_of("both", "back")
     if not claimed(draw, f"clock of {whom}"):
@@ -257,12 +271,13 @@
     return text, f"{name} {whom} at {at:g} s for {lasts:g} s"
 
 
-FAULTS: dict[str, Callable[[Draw], Fault | None]] = {
-    "link": link_fault,
-    "process": process_fault,
-    "discovery": discovery_fault,
-    "clock": clock_fault,
-    "server": server_trouble,
-    "burst": burst,
-    "act": operators_act,
-}
+FAULTS: tuple[Callable[[Draw], Fault | None], ...] = (
+    link_fault,
+    process_fault,
+    discovery_fault,
+    *(3 * [listing_fault]),  # what has hurt most so far
+    clock_fault,
+    server_trouble,
+    burst,
+    operators_act,
+)
--- a/flaxstep/rig/stage.py
+++ b/flaxstep/rig/stage.py
@@ -296,6 +296,10 @@
     async def list_service(self, up: bool) -> None:
         await self.children["discovery"].call("up" if up else "down")
 
+    async def misbehave(self, how: str, size: float) -> None:
+        """Discovery goes wrong in that way, or (without one) is well again."""
+        await self.children["discovery"].call("misbehave", how=how, size=size)
+
     async def leave_server(self, server: int, late_s: float) -> None:
         self.note("leaves", f"server:{server}")
         await self.announce(server, "leaving", late_s)
--- a/flaxstep/rig/timetable.py
+++ b/flaxstep/rig/timetable.py
@@ -131,7 +131,8 @@
         for i, server in enumerate(servers):
             at = what.at + what.length * (i * what.steps // len(servers)) / what.steps
             self.add(at, "leave_server", server=server, late_s=min(self.notice, 500.0) / 1000)
-            self.add(at + DRAIN_TIME, "restart_server", server=server, down_s=1.0)
+            drain = max(DRAIN_TIME, 1000 * what.extra)
+            self.add(at + drain, "restart_server", server=server, down_s=1.0)
 
     def kill(self, what: Happening) -> None:
         generator = np.random.Generator(np.random.PCG64(what.seed))
@@ -173,7 +174,7 @@
         at, length = 1000 * draw(generator, fault.at_s), 1000 * draw(generator, fault.for_s)
         size = draw(generator, fault.size)
         end = at + length if length else None
-        whom = " - ".join(fault.between) if fault.between else fault.of
+        whom = " - ".join(fault.between) if fault.between else f"{fault.of} {fault.how}".strip()
         self.bands.append(Band(f"{fault.name} {whom}", at, end or 0.0))
         if fault.name in LINK_FAULTS:
             spec = msgspec.structs.asdict(fault) | {"size": size, "between": list(fault.between or ())}
@@ -190,6 +191,9 @@
         elif fault.name == "down":
             self.add(at, "list_service", up=False)
             self.add(end if end is not None else at + 1000.0, "list_service", up=True)
+        elif fault.name == "listing":
+            self.add(at, "misbehave", how=fault.how, size=size)
+            self.add(end if end is not None else at + 1000.0, "misbehave", how="", size=0.0)
         elif fault.name == "stop":
             self.add(at, "stop", name=fault.of)
             self.add(end if end is not None else at + 1000.0, "go_on", name=fault.of)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,13 +10,15 @@
 from hypothesis import strategies as st
 
 from flaxstep.cli_rig import NOT_RUN_PART, folder_for, run_soak
-from flaxstep.lab.scenario import parse_scenario
-from flaxstep.rig.record import Asked, Began, Happened, Recorder, Told
-from flaxstep.rig.rules import Breach
+from flaxstep.lab.draw import draw_plan
+from flaxstep.lab.scenario import Rules, parse_scenario
+from flaxstep.rig.record import Asked, Began, Happened, Record, Recorder, Told
+from flaxstep.rig.rules import Breach, told_out
 from flaxstep.rig.soak.draw import CALM_S, MOST_FAULTS, START_S, draw_play
 from flaxstep.rig.soak.run import SoakOutcome
 from flaxstep.rig.soak.timeline import report
 from flaxstep.rig.stage import build
+from flaxstep.rig.story import FOREVER, Attempt, tell
 
 PLAYS, SECONDS = 6, 10.0
 
@@ -40,6 +42,33 @@
     assert len(found) == 16
 
 
+@pytest.mark.parametrize(
+    ("written_at", "sent_at", "broken"),
+    [(None, 3500.0, False), (None, 3600.0, True), (2500.0, 3000.0, False), (2500.0, 3100.0, True)],
+)
+def test_news_that_is_not_written_counts_as_told_all_the_same(
+    written_at: float | None, sent_at: float, broken: bool
+) -> None:
+    """At 3 s, unless it is written before; and once it is, what was assumed holds no more."""
+    plan = draw_plan(parse_scenario(draw_play(1, 0, 20.0).scenario), 1)
+    lines: list[Record] = [Told(3000.0, 0, 2, False, {1: "leaving"}, assumed=True)]
+    if written_at is not None:
+        lines.append(Told(written_at, 0, 2, False, {1: "leaving"}))
+        lines.append(Told(2800.0, 0, 3, False, {2: "active"}))
+    began = Began(sent_at, "ab", "", 1, "v1", 1, 1, sent_at, 20.0)
+    attempt = Attempt(began, 0, sent_at, 0.0)
+    out_since = told_out(tell(lines, plan, {}), attempt, Rules(drain_grace_ms=500.0))
+    assert (sent_at > out_since) is broken
+
+
+def test_what_was_assumed_of_an_older_list_does_not_undo_a_newer_one() -> None:
+    plan = draw_plan(parse_scenario(draw_play(1, 0, 20.0).scenario), 1)
+    back = Told(2000.0, 0, 3, False, {1: "active"})
+    late = Told(3000.0, 0, 2, False, {1: "leaving"}, assumed=True)
+    attempt = Attempt(Began(9000.0, "ab", "", 1, "v1", 1, 1, 9000.0, 20.0), 0, 9000.0, 0.0)
+    assert told_out(tell([back, late], plan, {}), attempt, Rules()) == FOREVER
+
+
 def test_a_breach_is_told_with_what_every_process_saw(tmp_path: Path) -> None:
     recorder = Recorder(tmp_path / "all.jsonl", 0.0)
     for record in (
