Blame no node for an answer that is late because the rig had stopped it

A node can't tell how long a request lay in the kernel. The judge excused a stopped node's other answers, not its 200s, which was meant for answers that no server made. Now only those are never excused. Test: late by a stop, late without one, made up in a stop; the first fails without.

--- a/tests/test_rig_judge.py
+++ b/tests/test_rig_judge.py
@@ -10,7 +10,8 @@
 
 from flaxstep.lab.draw import draw_plan
 from flaxstep.lab.scenario import read_scenario
-from flaxstep.rig.record import Asked, Dealt
+from flaxstep.rig.record import Answered, Asked, Dealt, Happened, Record
+from flaxstep.rig.rules import lost
 from flaxstep.rig.stage import Stage
 from flaxstep.rig.story import tell
 from tests.rigs import ROOT, Played, rig
@@ -87,3 +88,24 @@
     plan = draw_plan(read_scenario(ROOT / "scenarios" / "demo.toml"), 1)
     story = tell([*asked, *lines], plan, {})
     assert [story.tries[str(zone)].node for zone in (0, 1)] == nodes
+
+
+@pytest.mark.parametrize(
+    ("stopped", "whole", "broken"),
+    [(True, True, False), (False, True, True), (True, False, True)],
+)
+def test_an_answer_that_is_late_as_the_rig_stopped_the_node_is_no_breach(
+    stopped: bool, whole: bool, broken: bool
+) -> None:
+    """Found by the soak (seed 7, play 10): a request came to a stopped node, and was served after."""
+    scenario = read_scenario(ROOT / "scenarios" / "demo.toml")
+    at = 9000.0 if whole else 1200.0
+    lines: list[Record] = [
+        Dealt(900.0, 0, 5000, 0),
+        Asked(1000.0, 0, 0, "ab", 0, 0, 5000, 1400.0, False, 1000.0),
+        Answered(at, "ab", 200, whole=whole),
+    ]
+    if stopped:
+        lines += [Happened(950.0, "stopped", "node:0"), Happened(8000.0, "goes on", "node:0")]
+    story = tell(lines, draw_plan(scenario, 1), {})
+    assert bool(list(lost(story, scenario))) is broken
