Take an attempt for over once its node has closed, though a stopped server reads it later

The judge looked for the node's close only after the server's reading. Now from the attempt's first byte on. Test: a close before and after the second attempt; the first fails without.

--- a/flaxstep/rig/story.py
+++ b/flaxstep/rig/story.py
@@ -198,7 +198,8 @@
         if end is not None:
             attempt.ended, attempt.result = end.at, end.result
         for times in (closed[name, record.port], killed[name]):
-            later = bisect_right(times, record.at)
+            # From its first byte on: a stopped server reads only afterwards what was given up meanwhile.
+            later = bisect_right(times, attempt.first)
             if later < len(times):
                 attempt.ended = min(attempt.ended, times[later])
         if record.id in story.tries:
--- a/tests/test_rig_judge.py
+++ b/tests/test_rig_judge.py
@@ -10,8 +10,8 @@
 
 from flaxstep.lab.draw import draw_plan
 from flaxstep.lab.scenario import read_scenario
-from flaxstep.rig.record import Answered, Asked, Dealt, Happened, Record
-from flaxstep.rig.rules import lost
+from flaxstep.rig.record import Answered, Asked, Began, Closed, Dealt, Ended, Happened, Record, Turn
+from flaxstep.rig.rules import lost, together
 from flaxstep.rig.stage import Stage
 from flaxstep.rig.story import tell
 from tests.rigs import ROOT, Played, rig
@@ -109,3 +109,24 @@
         lines += [Happened(950.0, "stopped", "node:0"), Happened(8000.0, "goes on", "node:0")]
     story = tell(lines, draw_plan(scenario, 1), {})
     assert bool(list(lost(story, scenario))) is broken
+
+
+@pytest.mark.parametrize(("closed_at", "broken"), [(1500.0, False), (1700.0, True)])
+def test_an_attempt_is_out_until_its_node_closes_though_a_stopped_server_reads_it_later(
+    closed_at: float, broken: bool
+) -> None:
+    """Found by the soak (seed 7, play 33): the server read what was called back once it went on."""
+    scenario = read_scenario(ROOT / "scenarios" / "demo.toml")
+    lines: list[Record] = [
+        Dealt(900.0, 0, 5000, 0),
+        Asked(1000.0, 0, 0, "ab", 0, 0, 5000, 2400.0, False, 1000.0),
+        Turn(closed_at, "node:0", "server:3", 7, 0, 1100.0, 1100.0),
+        Closed(closed_at, "node:0", "server:3", 7, "node:0"),
+        Turn(1620.0, "node:0", "server:2", 8, 0, 1600.0, 1600.0),
+        Began(1601.0, "ab", "", 2, "v1", 8, 0, 1601.0, 20.0),
+        Ended(1620.0, "ab", 2, 8, 0, "ok"),
+        Began(2000.0, "ab", "", 3, "v1", 7, 0, 2000.0, 20.0),
+        Ended(2001.0, "ab", 3, 7, 0, "left"),
+    ]
+    story = tell(lines, draw_plan(scenario, 1), {})
+    assert bool(list(together(story, scenario))) is broken
