Review case 2: a planned restart loses requests of clients that keep several out

Cause: a draining node keeps a connection open while a further request waits on it, and goes on reading.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
-"""Case 2: a client sends 60 commands at once, in pieces; does each get its final answer in its time?"""
+"""Case 2: a planned restart while clients keep several commands out on a connection; is any request lost?"""
 
 import asyncio
+import signal
 import sys
 from collections import Counter
 from pathlib import Path
@@ -9,7 +10,6 @@
 sys.path.insert(0, str(HERE.parent / "lib"))
 
 from standins import (  # noqa: E402
-    CannotRun,
     Client,
     Discovery,
     JobServer,
@@ -22,83 +22,109 @@
     play,
 )
 
-COMMANDS = 60
-PIECE = 10  # commands in one write: 2 kB
-PIECE_GAP_S = 0.01
-TIMEOUT_MS = 1200.0  # submit-build's deadline
-WORK_S = 0.06  # the brief: 31 to 56 ms of work on cores of 0.77 to 2.1
-# STANDING: half a second after its time a request is lost. 50 ms for sockets, 20 ms AnswerSlack, 30 ms spare.
-LOST_AFTER_MS = TIMEOUT_MS + 500 + 100
-TOLD_SLACK_MS = 150 + 50
+CLIENTS, WINDOW = 3, 8  # each keeps so many commands out on its connection
+TIMEOUT_MS = 1200.0
+SIGTERM_AT_S = 3.0
+# PROTOCOL: SIGKILL comes no sooner than the longest deadline (1.2 s here) and 0.7 s more. The platform waits longer.
+KILL_AFTER_S = 4.0
+TAKEN_LATE_S = 0.7  # what SIGKILL finds unanswered is lost if it came more than this after SIGTERM
+END_AT_S = 9.0
+
+
+class Pipeline:
+    """A client that sends the next command when an answer is there, as long as its connection lasts.
+
+    It ends the connection after an answer with `Connection: close`, and does not send on it after an end of stream.
+    """
+
+    def __init__(self, name: str, record: Record) -> None:
+        self.name, self.record = name, record
+        self.tries: list[Try] = []
+        self.open: list[Try] = []  # sent and not answered, in order
+
+    def send(self, client: Client) -> None:
+        this = Try(f"{self.name}{len(self.tries):04d}", TIMEOUT_MS)
+        client.writer.write(make_request(this.id, TIMEOUT_MS))
+        this.sent = now()
+        self.tries.append(this)
+        self.open.append(this)
+
+    async def run(self, port: int, until: float) -> None:
+        client = await Client.connect(port)
+        for _ in range(WINDOW):
+            self.send(client)
+        try:
+            async with asyncio.timeout_at(asyncio.get_running_loop().time() + until - now() + 4):
+                while self.open:
+                    status, _ = await client.read_answer()
+                    this = self.open.pop(0)
+                    this.ended, this.outcome = now(), str(status)
+                    if client.last:
+                        break
+                    if now() < until:
+                        self.send(client)
+        except (OSError, EOFError) as error:
+            self.record.say(f"{self.name}: connection ended, {len(self.open)} commands out: {error!r}")
+        except TimeoutError:
+            self.record.say(f"{self.name}: {len(self.open)} commands never answered")
+        client.close()
 
 
 async def case(record: Record, processes: Processes, trouble: bool) -> bool:
-    servers = [JobServer(f"s-{i}", record, WORK_S) for i in range(4)]
+    servers = [JobServer(f"s-{i}", record, work_s=0.03) for i in range(4)]
     for server in servers:
         await server.start()
     discovery = Discovery(record, [server.entry() for server in servers])
     await discovery.start()
     node = Node(processes, record, "n0", discovery.port, discovery.whole())
     node.start()
-    tries = [Try(f"p{number:04d}", TIMEOUT_MS) for number in range(COMMANDS)]
-    worst_lag_s = 0.0
-
-    async def send_at_once(client: Client) -> None:
-        nonlocal worst_lag_s
-        for first in range(0, COMMANDS, PIECE):
-            begin = now()
-            piece = tries[first : first + PIECE]
-            client.writer.write(b"".join(make_request(each.id, TIMEOUT_MS) for each in piece))
-            for each in piece:
-                each.sent = now()
-            await client.writer.drain()
-            await asyncio.sleep(PIECE_GAP_S)
-            worst_lag_s = max(worst_lag_s, now() - begin - PIECE_GAP_S)
-
+    killed_at = float("inf")
     try:
         await node.wait_ready()
-        client = await Client.connect(node.port)
-        sending = asyncio.create_task(send_at_once(client)) if trouble else None
-        try:
-            async with asyncio.timeout(30):
-                for each in tries:
-                    if not trouble:  # the same commands, one at a time
-                        each.sent = now()
-                        client.writer.write(make_request(each.id, TIMEOUT_MS))
-                    status, _ = await client.read_answer()
-                    each.ended, each.outcome = now(), str(status)
-        except (OSError, EOFError, TimeoutError) as error:
-            record.say(f"the client's connection ended: {error!r}")
-        if sending is not None:
-            await sending
-        client.close()
+        begin = now()
+        clients = [Pipeline(f"c{i}-", record) for i in range(CLIENTS)]
+        running = [asyncio.create_task(each.run(node.port, begin + END_AT_S)) for each in clients]
+        await asyncio.sleep(SIGTERM_AT_S)
+        term_at = now()
+        if trouble:
+            node.process.send_signal(signal.SIGTERM)
+            record.say("the platform sends SIGTERM")
+            while node.process.poll() is None and now() < term_at + KILL_AFTER_S:
+                await asyncio.sleep(0.02)
+            if node.process.poll() is None:
+                killed_at = now()
+                node.process.kill()
+                record.say(f"the platform sends SIGKILL, {killed_at - term_at:.2f} s after SIGTERM")
+            else:
+                record.say(f"the node ended {now() - term_at:.2f} s after SIGTERM")
+        await asyncio.wait(running)
     finally:
         node.remove_files()
+    tries = [each for client in clients for each in client.tries]
     for each in tries:
-        record.line(
-            f"request {each.id}: time {TIMEOUT_MS:.0f} ms, {each.outcome} after {each.answer_ms:.0f} ms",
-            each.sent,
+        record.line(f"request {each.id}: {each.outcome} after {each.answer_ms:.0f} ms", each.sent)
+    record.say(f"{len(tries)} requests: {dict(Counter(each.outcome for each in tries))}")
+    if trouble:
+        after = [each for each in tries if each.sent > term_at + TAKEN_LATE_S]
+        record.say(
+            f"sent more than 0.7 s after SIGTERM: {len(after)}, {dict(Counter(e.outcome for e in after))}"
         )
-    if worst_lag_s > 0.3:
-        raise CannotRun(f"the client was late by {worst_lag_s:.2f} s: the machine is too busy")
-    record.say(f"{COMMANDS} requests: {dict(Counter(each.outcome for each in tries))}")
-    lost = [each for each in tries if each.answer_ms > LOST_AFTER_MS]
+    ran = {run[1] for server in servers for run in server.runs}
+    lost = [
+        each
+        for each in tries
+        if each.answer_ms > TIMEOUT_MS + 600  # also: never
+        # Unanswered when its connection ended: lost if the node had it and SIGKILL found it, or if it ran.
+        and (not trouble or each.sent > term_at + TAKEN_LATE_S or each.id in ran)
+        and each.sent < killed_at - 0.02
+    ]
     for each in lost[:8]:
-        record.say(f"lost: {each.id}, {each.outcome} {each.answer_ms:.0f} ms after it was sent")
-    sent = {each.id: each.sent for each in tries}
-    runs = [run for server in servers for run in server.runs]
-    told_long = [run for run in runs if run[2] > TIMEOUT_MS - (run[0] - sent[run[1]]) * 1000 + TOLD_SLACK_MS]
-    after_time = [run for run in runs if (run[0] - sent[run[1]]) * 1000 > TIMEOUT_MS]
-    for began, request_id, told, _ in told_long[:3]:
-        left = TIMEOUT_MS - (began - sent[request_id]) * 1000
         record.say(
-            f"{request_id}: the attempt told its job server {told:.0f} ms, its client had {left:.0f} ms left"
+            f"lost: {each.id}, sent {each.sent - term_at:.2f} s after SIGTERM, {each.outcome}"
+            + (", a job server ran it" if each.id in ran else "")
         )
-    record.say(
-        f"lost requests: {len(lost)}; attempts told too much time: {len(told_long)}; "
-        f"attempts begun after their client's time: {len(after_time)}"
-    )
-    return not lost and not told_long
+    record.say(f"lost requests: {len(lost)}")
+    return not lost
 
 
 play(case, HERE)
