--- a/review/2/case.py
+++ b/review/2/case.py
@@ -25,7 +25,7 @@
 CLIENTS, WINDOW = 3, 8  # each keeps so many commands out on its connection
 TIMEOUT_MS = 1200.0
 SIGTERM_AT_S = 3.0
-# PROTOCOL: SIGKILL comes no sooner than the longest deadline (1.2 s here) and 0.7 s more. Here it waits longer.
+# PROTOCOL: SIGKILL comes no sooner than the longest deadline (1.2 s) and 0.7 s more.
 KILL_AFTER_S = 4.0
 TAKEN_LATE_S = 0.7  # what SIGKILL finds unanswered is lost if it came more than this after SIGTERM
 END_AT_S = 9.0
