--- a/review/2/case.py
+++ b/review/2/case.py
@@ -22,7 +22,7 @@
     play,
 )
 
-CLIENTS, WINDOW = 3, 8  # each keeps so many commands out on its connection
+CLIENTS, AT_ONCE = 3, 8  # each sends so many commands at once, and again when half of them are answered
 TIMEOUT_MS = 1200.0
 SIGTERM_AT_S = 3.0
 # PROTOCOL: SIGKILL comes no sooner than the longest deadline (1.2 s) and 0.7 s more.
@@ -32,7 +32,7 @@
 
 
 class Pipeline:
-    """A client that sends the next command when an answer is there, as long as its connection lasts.
+    """A client that sends several commands at once, again and again, as long as its connection lasts.
 
     It ends the connection after an answer with `Connection: close`, and sends nothing after an end of stream.
     """
@@ -51,7 +51,7 @@
 
     async def run(self, port: int, until: float) -> None:
         client = await Client.connect(port)
-        for _ in range(WINDOW):
+        for _ in range(AT_ONCE):
             self.send(client)
         try:
             async with asyncio.timeout_at(asyncio.get_running_loop().time() + until - now() + 4):
@@ -61,8 +61,9 @@
                     this.ended, this.outcome = now(), str(status)
                     if client.last:
                         break
-                    if now() < until:
-                        self.send(client)
+                    if now() < until and len(self.open) <= AT_ONCE // 2:
+                        for _ in range(AT_ONCE - len(self.open)):
+                            self.send(client)
         except (OSError, EOFError) as error:
             self.record.say(f"{self.name}: connection ended, {len(self.open)} commands out: {error!r}")
         except TimeoutError:
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -327,7 +327,9 @@
         self.runs: list[
             tuple[float, str, float, str]
         ] = []  # first byte, request id, time told (ms), how it ended
+        self.under_way: dict[str, tuple[float, str, float, str]] = {}  # the same, by request id
         self.writers: set[asyncio.StreamWriter] = set()
+        self.ended = False
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self.serve, HOST, 0)
@@ -373,7 +375,12 @@
             fields.get(b"request-id", b"").decode(),
             float(fields.get(b"request-timeout", b"0m")[:-1]),
         )
+        self.under_way[request_id] = (began, request_id, told, "cut off")
         await asyncio.sleep(self.work_s)
+        if self.ended:
+            self.record.line(f"{self.name}: ended while it ran {request_id}, told {told:.0f} ms", began)
+            return
+        del self.under_way[request_id]
         self.runs.append((began, request_id, told, "ran"))
         self.record.line(f"{self.name}: ran {request_id}, told {told:.0f} ms", began)
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(self.answer), self.answer))
@@ -381,6 +388,7 @@
 
     def stop(self) -> None:
         """End like a process that dies: its connections are reset, and new ones are refused."""
+        self.ended = True
         self.server.close()
         for writer in list(self.writers):
             with contextlib.suppress(OSError):
