--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
 """Case 3: a killed node comes back while discovery is crowded; does it send to drained job servers?"""
 
 import asyncio
+import random
 import sys
 from collections import Counter
 from pathlib import Path
@@ -10,6 +11,7 @@
 
 from standins import (  # noqa: E402
     CannotRun,
+    Client,
     Discovery,
     JobServer,
     Load,
@@ -21,7 +23,8 @@
 )
 
 SERVERS, LEAVING = 9, 3
-CROWDED_S = 10.5  # from the kill on; three calls of the node fail in that time
+OTHERS = 199  # nodes that are killed at the same time: stand-ins that only call discovery
+CALL_TAKES_S = 0.5  # of discovery's time, each
 CALL_WAITS_S = 3.0  # farma-krakow: discovery's timeout_ms = 3000; then the call ends with 503
 DRAIN_AT_S = 1.0  # after the node is back
 TOLD_AFTER_S = 6.0  # STANDING: told at the latest 6 s after discovery had it and could be reached
@@ -30,31 +33,51 @@
 TIMEOUT_MS = 1200.0
 
 
-class CrowdedDiscovery(Discovery):
-    """Works calls in turn. While it is crowded a call waits for its turn, and fails if it waited too long."""
+class BusyDiscovery(Discovery):
+    """One service for all nodes: works calls in turn, and ends a call that has waited too long with 503."""
 
     def __init__(self, record: Record, entries: list[dict[str, object]]) -> None:
         super().__init__(record, entries)
-        self.crowd_over = asyncio.Event()
-        self.crowd_over.set()
+        self.turn = asyncio.Lock()  # fair: first come, first served
 
     async def admit(self, number: int, path: str, writer: asyncio.StreamWriter) -> bool:
         try:
             async with asyncio.timeout(CALL_WAITS_S):
-                await self.crowd_over.wait()
-                return True
+                await self.turn.acquire()
         except TimeoutError:
             writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
             await writer.drain()
-            self.record.say(f"discovery: call {number} has waited {CALL_WAITS_S:.0f} s and ends with 503")
+            self.record.line(f"discovery: call {number} has waited {CALL_WAITS_S:.0f} s and ends with 503")
             return False
+        try:
+            await asyncio.sleep(CALL_TAKES_S)
+        finally:
+            self.turn.release()
+        self.record.line(f"discovery: call {number} is answered")
+        return True
+
+
+async def other_node(port: int, watching: list[Client]) -> None:
+    """The call for a watch of another node that was killed too, repeated as this program does."""
+    await asyncio.sleep(random.uniform(0.05, 0.35))  # its start: 0.2 s on the bench
+    delay = 0.05
+    while True:
+        client = await Client.connect(port)
+        client.writer.write(b"GET /catalog/members?watch=1&from=41 HTTP/1.1\r\nHost: discovery\r\n\r\n")
+        head = await client.reader.readuntil(b"\r\n\r\n")
+        if b" 200 " in head:
+            watching.append(client)
+            return
+        client.close()
+        await asyncio.sleep(delay * random.uniform(0.5, 1.5))
+        delay = min(2 * delay, 1.0)
 
 
 async def case(record: Record, processes: Processes, trouble: bool) -> bool:
     servers = [JobServer(f"s-{i}", record, work_s=0.045) for i in range(SERVERS)]
     for server in servers:
         await server.start()
-    discovery = CrowdedDiscovery(record, [server.entry() for server in servers])
+    discovery = BusyDiscovery(record, [server.entry() for server in servers])
     await discovery.start()
     nodes = [
         Node(processes, record, f"n{i}", discovery.port, discovery.whole(), group=(2, i)) for i in range(2)
@@ -65,10 +88,11 @@
         for node in nodes:
             await node.wait_ready()
         await asyncio.sleep(1)
+        watching: list[Client] = []
+        others = []
         if trouble:
-            discovery.crowd_over.clear()
-            asyncio.get_running_loop().call_later(CROWDED_S, discovery.crowd_over.set)
-            record.say(f"discovery has too many callers for {CROWDED_S:.1f} s: new calls wait")
+            others = [asyncio.create_task(other_node(discovery.port, watching)) for _ in range(OTHERS)]
+            record.say(f"{OTHERS} other nodes are killed too, come back and call discovery")
         nodes[1].process.kill()
         await asyncio.to_thread(nodes[1].process.wait)
         record.say("n1 was killed; it is started again with the list that it last had")
@@ -90,6 +114,9 @@
         await asyncio.gather(*clients)
         for load in loads:
             await load.finish()
+        for other in others:
+            other.cancel()
+        record.say(f"{len(watching)} of the other nodes have got their watch by the end")
     finally:
         for node in nodes:
             node.remove_files()
