--- a/review/1/case.py
+++ b/review/1/case.py
@@ -116,7 +116,8 @@
     ]
     for name, request_id, body in altered[:10]:
         record.say(
-            f"altered: {name} ran {request_id} with {len(body)} bytes, its client sent {len(sent[request_id])}"
+            f"altered: {name} ran {request_id} with {len(body)} bytes, "
+            f"its client sent {len(sent[request_id])}"
         )
     record.say(f"{len(sent)} requests: {dict(Counter(status for status, _ in answers.values()))}")
     record.say(
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -38,7 +38,14 @@
         record.say(f"the node's memory before: {node.rss_mb():.0f} MB")
         begin = now()
         if trouble:
-            command = [sys.executable, "-B", str(HERE / "unread_peer.py"), str(node.port), str(MEGABYTES), "70"]
+            command = [
+                sys.executable,
+                "-B",
+                str(HERE / "unread_peer.py"),
+                str(node.port),
+                str(MEGABYTES),
+                "70",
+            ]
             peer = processes.start(command, stdout=subprocess.PIPE)
             record.say(f"a bad client connects: it has {MEGABYTES} MB to send and reads no answer")
         next_line = begin
--- a/review/2/unread_peer.py
+++ b/review/2/unread_peer.py
@@ -1,6 +1,7 @@
-"""A bad client: one proper request, whose answer it reads, then much at once that is no proper request, and goes.
+"""A bad client: one proper request, whose answer it reads; then much at once that is no proper request.
 
-Arguments: port, megabytes, seconds at most. It reads no answer to the improper requests. It prints what it sent.
+Arguments: port, megabytes, seconds at most. It reads no answer to the improper requests, and goes. It prints
+what it sent.
 """
 
 import socket
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -85,7 +85,10 @@
                         data += piece
                         head, end, rest = data.partition(b"\r\n\r\n")
                         if end:
-                            length, got = int(head.lower().partition(b"content-length:")[2].split()[0]), len(rest)
+                            length, got = (
+                                int(head.lower().partition(b"content-length:")[2].split()[0]),
+                                len(rest),
+                            )
                     else:
                         got += len(piece)
         except (OSError, TimeoutError) as error:
@@ -142,12 +145,20 @@
     lost = []
     for each in tries:
         # DAYS: holding an answer over 64 KiB back for 2 s, or cutting it off, loses the request.
-        if each.id in begun and each.outcome != "200" and begun[each.id] < each.sent + TIMEOUT_MS / 1000 - 2.5:
+        if (
+            each.id in begun
+            and each.outcome != "200"
+            and begun[each.id] < each.sent + TIMEOUT_MS / 1000 - 2.5
+        ):
             lost.append(each)
-            gave = f"gave all of it within {1000 * (given[each.id] - each.sent):.0f} ms" if each.id in given else "was cut off"
+            gave = (
+                f"gave all of it within {1000 * (given[each.id] - each.sent):.0f} ms"
+                if each.id in given
+                else "was cut off"
+            )
             record.say(
-                f"lost: {each.id}, {each.outcome} after {each.answer_ms:.0f} ms; its job server began the answer "
-                f"after {1000 * (begun[each.id] - each.sent):.0f} ms and {gave}"
+                f"lost: {each.id}, {each.outcome} after {each.answer_ms:.0f} ms; its job server began the "
+                f"answer after {1000 * (begun[each.id] - each.sent):.0f} ms and {gave}"
             )
     record.say(f"{len(tries)} requests: {dict(Counter(each.outcome for each in tries))}")
     record.say(f"answered by a job server in time, held back or cut off by the node: {len(lost)}")
