Debug log: bytes of each request, slow clients, paused reads, and pooled connections

The debug log could not tell where a body was lost, whether a client took its responses, or in which state a connection went back to the pool. Change: the events request_received (declared and received bytes), client_reads_slowly and client_reads_again (unsent bytes, queued requests), upstream_read_paused and _resumed, upstream_pooled; each names its connection.

--- a/flaxstep/proxy/client_connections.py
+++ b/flaxstep/proxy/client_connections.py
@@ -700,6 +700,13 @@
             self.start_upload(None if self.headers.chunked else self.headers.content_length)
 
     def on_message_complete(self) -> None:
+        log_event(
+            "request_received",
+            connection=self.descriptor,
+            declared=self.headers.content_length,
+            chunked=self.headers.chunked,
+            received=self.body_bytes_received,
+        )
         upload, self.upload = self.upload, None
         self.stop_receiving_request()
         self.bytes_since_request = 0
@@ -855,13 +862,24 @@
         reset_connection(self.transport)
 
     def pause_writing(self) -> None:
+        self.log_flow("client_reads_slowly")
         if self.response_streaming:
             self.listener.handler.pause_response(self.request_id, True)
 
     def resume_writing(self) -> None:
+        self.log_flow("client_reads_again")
         if self.response_streaming:
             self.listener.handler.pause_response(self.request_id, False)
 
+    def log_flow(self, name: str) -> None:
+        """Log that the client takes less than is written, or takes it again."""
+        log_event(
+            name,
+            connection=self.descriptor,
+            unsent=self.transport.get_write_buffer_size(),
+            queued=len(self.queued_requests),
+        )
+
     def on_response_sent(self, keep_alive: bool) -> None:
         """Finish with the current request and continue with the next one."""
         self.serving_request = False
--- a/flaxstep/proxy/server_connections.py
+++ b/flaxstep/proxy/server_connections.py
@@ -171,7 +171,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # No isinstance check: uvloop's transports don't derive from asyncio's. They have TCP_NODELAY set.
         self.transport = cast(asyncio.Transport, transport)
-        self.socket_poll = poll_unread_input(transport.get_extra_info("socket").fileno())
+        self.descriptor: int = transport.get_extra_info("socket").fileno()
+        self.socket_poll = poll_unread_input(self.descriptor)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.pool.connections.discard(self)
@@ -197,7 +198,7 @@
             self.pool.finish_attempt(attempt, result)
 
     def close(self, cause: str) -> None:
-        log_event("upstream_closed", endpoint=self.server.id, cause=cause)
+        log_event("upstream_closed", endpoint=self.server.id, upstream=self.descriptor, cause=cause)
         if cause in ABORT_CAUSES:
             self.transport.abort()
         else:
@@ -229,6 +230,7 @@
             request=attempt.message.request_id,
             attempt=attempt.number,
             endpoint=self.server.id,
+            upstream=self.descriptor,
             reused=self.idle_before_ms is not None,
         )
         self.response_complete = self.response_begun = self.head_received = self.reading_paused = False
@@ -347,6 +349,7 @@
         self.reading_paused, self.last_read_ms = paused, now_ms()
         if self.transport.is_closing():
             return
+        log_event("upstream_read_paused" if paused else "upstream_read_resumed", upstream=self.descriptor)
         if paused:
             self.transport.pause_reading()
         else:
@@ -624,6 +627,7 @@
         if connection.version != server.version or server.state is not State.READY:
             connection.close("endpoint_changed")
             return
+        log_event("upstream_pooled", upstream=connection.descriptor, reading_paused=connection.reading_paused)
         connection.idle_since = idle_since
         idle = server.idle
         if not idle or idle[-1].idle_since <= idle_since:
--- a/tests/test_event_log.py
+++ b/tests/test_event_log.py
@@ -10,6 +10,7 @@
 from flaxstep.proxy.config import read_log_level
 from flaxstep.proxy.event_log import format_value, log_event
 from tests.net import FakeServer, build_request, respond_with, run_node
+from tests.test_admin import wait_until
 from tests.test_node import run
 
 
@@ -74,6 +75,28 @@
     assert "result=full" in lines[3] and "cause=attempts" in lines[4] and "status=503" in lines[5]
 
 
+def test_flow_of_a_response_to_a_slow_client_is_logged(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.DEBUG, "flaxstep.proxy.events")
+    body = bytes(16 << 20)  # more than the kernel buffers
+    response = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+    async def test() -> None:
+        async with run_node(await FakeServer(respond_with(response)).start()) as fixture:
+            client = await fixture.connect_client()
+            client.writer.write(build_request("pay", body=b"job"))
+            await wait_until(lambda: any("event=upstream_read_paused" in line for line in caplog.messages))
+            assert len((await client.read_response())[2]) == len(body)
+
+    run(test())
+    assert any(
+        re.search("event=request_received .*declared=3 .*received=3", line) for line in caplog.messages
+    )
+    names = [line.split()[0].removeprefix("event=") for line in caplog.messages]
+    assert {"client_reads_slowly", "client_reads_again", "upstream_read_resumed", "upstream_pooled"} <= {
+        *names
+    }
+
+
 def test_end_of_discovery_call_is_logged(caplog: pytest.LogCaptureFixture) -> None:
     caplog.set_level(logging.INFO, "flaxstep.proxy")
 
