Read the body of a request that offers an upgrade, and the requests behind it

Cause: httptools ends such a request at its head and calls on_message_complete, as another protocol may follow. The node declines the offer, but took the call for the end of the request and read no further. Change: RequestParser declines the offer where it is met; a new parser of the library, which first gets the framing of that request, reads on. The connection stays open. test_upgrade_request_is_served_as_last_request_of_connection pinned the half of the fault that drops what follows an offer; its replacement asks for a further response. Why it works: the body passes the same callbacks and checks as any other.

--- a/flaxstep/proxy/client_connections.py
+++ b/flaxstep/proxy/client_connections.py
@@ -23,6 +23,7 @@
     BodyBudget,
     Upload,
 )
+from flaxstep.proxy.request_parser import RequestParser, UnsupportedConnect
 from flaxstep.proxy.server_connections import ForwardedRequest
 from flaxstep.proxy.wall_clock import now_ms
 from flaxstep.routing.interface import Effect
@@ -340,9 +341,7 @@
         requests = [entry.message for entry in queued_items if isinstance(entry, ClientRequest)]
         return sum(message.upload is None or message.upload.complete for message in requests)
 
-    def validate_request(
-        self, parser: httptools.HttpRequestParser, url: bytes, headers: Headers
-    ) -> tuple[int, int, int]:
+    def validate_request(self, parser: RequestParser, url: bytes, headers: Headers) -> tuple[int, int, int]:
         """Return the class, tenant and key of a request; raise BadRequest if it is invalid."""
         parts = url.partition(b"?")[0].split(b"/")
         if parts[0] or len(parts) < 2:
@@ -424,7 +423,7 @@
 
     def __init__(self, listener: Listener) -> None:
         self.listener = listener
-        self.parser = httptools.HttpRequestParser(self)
+        self.parser = RequestParser(self)
         # Requests that wait for their turn, each with whether to keep the connection open after its response.
         self.queued_requests: deque[tuple[ClientRequest | BadRequest | HealthCheck, bool]] = deque()
         self.request_id = 0  # the node's number of the request that is being served; 0: none
@@ -513,10 +512,9 @@
         self.bytes_since_request += nbytes
         self.listener.on_bytes_received(self)
         try:
-            self.parser.feed_data(self.listener.body_budget.read_buffer()[:nbytes])
-        except httptools.HttpParserUpgrade:
-            # Upgrades are not supported: the request is served as usual, as the last on its connection.
-            self.input_finished = True
+            self.parser.feed(self.listener.body_budget.read_buffer()[:nbytes])
+        except UnsupportedConnect:
+            self.input_finished = True  # its rejection is the last response
             if self.queued_requests:
                 self.queued_requests[-1] = (self.queued_requests[-1][0], False)
             else:
@@ -662,6 +660,13 @@
         elif headers.awaits_continue and not self.serving_request and not self.queued_requests:
             self.send_continue()
 
+    def framing_header(self) -> bytes:
+        """The header line that says how the body of the current request is framed; empty without a body."""
+        if self.headers.chunked:
+            return b"Transfer-Encoding: chunked\r\n"
+        length = self.headers.content_length
+        return b"Content-Length: %d\r\n" % length if length else b""
+
     def send_continue(self) -> None:
         """Ask for the body of a request with `Expect: 100-continue`."""
         self.headers.awaits_continue = False
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -347,14 +347,14 @@
     run(test())
 
 
-def test_upgrade_request_is_served_as_last_request_of_connection() -> None:
+def test_upgrade_request_is_served_and_its_connection_is_kept() -> None:
     async def test() -> None:
         async with run_node(await FakeServer().start()) as fixture:
             client = await fixture.connect_client()
             data = build_request() + build_request(Connection="upgrade", Upgrade="websocket")
             assert (await client.send_request(data))[0] == 200
             assert (await client.read_response())[0] == 200
-            assert await client.read_until_close() == b""
+            assert (await client.send_request(build_request()))[0] == 200
 
     run(test())
 
