Serve no further request while a client does not take the responses before it

Cause: a request was served as soon as the response before it was written; pause_writing was heeded for streamed responses only, so the transport kept the rest. Evidence: the debug log shows one client_reads_slowly (unsent=65547 queued=2913), no client_reads_again, and 906,681 requests received and answered after it. Change: over 4 KiB unsent a client's next requests wait in the queue, whose limit then pauses reading; without a byte taken for 5 s the connection is reset. Reads outside of bodies are 4 KiB, and rejected requests wait without their exception and its stack. A stopping node serves requests that wait so. WriteProgress is shared with _linger. Why it works: a connection holds 4 KiB, one response and the requests of one read.

--- a/flaxstep/proxy/client_connections.py
+++ b/flaxstep/proxy/client_connections.py
@@ -14,7 +14,12 @@
 import httptools
 
 from flaxstep.proxy.config import Config
-from flaxstep.proxy.connection_close import STATUS_LINES, close_after_response, reset_connection
+from flaxstep.proxy.connection_close import (
+    STATUS_LINES,
+    WriteProgress,
+    close_after_response,
+    reset_connection,
+)
 from flaxstep.proxy.event_log import log_event
 from flaxstep.proxy.request_bodies import (
     BUFFERED_BODY_BYTES,
@@ -30,6 +35,11 @@
 
 MAX_HEAD_BYTES = 16384  # of the request line and all headers
 MAX_PIPELINED_REQUESTS = 16  # queued on one connection; with more, reading from it pauses
+HEAD_READ_BYTES = (
+    4096  # in one read outside of bodies; the requests in it are queued even if they are too many
+)
+# Of responses that the client does not take; with more, its next requests wait. One response may exceed this.
+MAX_UNSENT_BYTES = 4096
 REQUEST_TIMEOUT_S = 2.6  # for a client to send one request; some clients take 2 s for the head alone
 # From the opening of a connection to its first valid request. A client must be given up after at most 3 s.
 FIRST_REQUEST_TIMEOUT_S = 2.6
@@ -58,12 +68,19 @@
     return int.from_bytes(blake2b(name, digest_size=8).digest()) or 1
 
 
+@dataclass(slots=True, frozen=True)
+class Rejection:
+    """The response to an invalid request: its status, and header lines to send with it."""
+
+    status: int
+    extra_headers: bytes
+
+
 class BadRequest(Exception):
-    """A request that is rejected: the status of the response, and header lines to send with it."""
+    """A request that is rejected."""
 
     def __init__(self, status: int, extra_headers: bytes = b"") -> None:
-        self.status = status
-        self.extra_headers = extra_headers
+        self.rejection = Rejection(status, extra_headers)
 
 
 @dataclass(slots=True)
@@ -136,6 +153,8 @@
         # Connections closed on this side that wait for the client to close too. They still hold descriptors.
         self.lingering: OrderedDict[ClientConnection, None] = OrderedDict()
         self.read_paused: dict[int, ClientConnection] = {}  # by descriptor
+        # Connections whose requests wait until their client takes the responses to earlier ones.
+        self.slow_readers: dict[ClientConnection, WriteProgress] = {}
         # Candidates for eviction, each with the loop time since which it is in that state, oldest first.
         self.awaiting_first_byte: OrderedDict[ClientConnection, float] = OrderedDict()
         self.receiving_first_request: OrderedDict[ClientConnection, float] = OrderedDict()
@@ -263,6 +282,11 @@
         self.awaiting_first_request.pop(client, None)
         self.receiving_first_request.pop(client, None)
 
+    def add_slow_reader(self, client: ClientConnection) -> None:
+        """Watch whether a client takes the responses that its further requests wait for."""
+        if client not in self.slow_readers:
+            self.slow_readers[client] = WriteProgress(client.transport, self.loop.time())
+
     def start_lingering(self, client: ClientConnection) -> None:
         """Note that the last response is written. The connection counts against the limit until it closes."""
         self.on_connection_closed(client)
@@ -279,6 +303,7 @@
 
         Its descriptor still counts until its transport closes in the next turn of the loop.
         """
+        self.slow_readers.pop(client, None)
         for group in (
             self.awaiting_first_byte,
             self.receiving_first_request,
@@ -306,6 +331,7 @@
         """
         self.loop.call_later(SWEEP_INTERVAL_S, self.sweep_connections)
         self.detect_closed_while_paused()
+        self.reset_stalled_readers()
         oldest_allowed = self.loop.time() - FIRST_REQUEST_TIMEOUT_S
         for client, opened_at in [
             entry for entry in self.awaiting_first_request.items() if entry[1] < oldest_allowed
@@ -314,6 +340,12 @@
         if self.handler.draining:
             self.close_idle()
 
+    def reset_stalled_readers(self) -> None:
+        """Reset connections whose client takes no responses although further requests of it wait."""
+        now = self.loop.time()
+        for client in [client for client, progress in self.slow_readers.items() if progress.stalled(now)]:
+            client.reset("responses_not_read")
+
     def close_idle(self) -> None:
         """Close idle connections, so that their clients reconnect to another node.
 
@@ -332,7 +364,7 @@
             if client.receiving_request and not client.input_finished:
                 client.stop_reading(BadRequest(503))
                 client.serve_next_requests()
-            elif not client.serving_request:
+            elif not client.serving_request and not client.queued_requests:
                 client.close("stopping")
 
     def count_queued_requests(self) -> int:
@@ -425,17 +457,19 @@
         self.listener = listener
         self.parser = RequestParser(self)
         # Requests that wait for their turn, each with whether to keep the connection open after its response.
-        self.queued_requests: deque[tuple[ClientRequest | BadRequest | HealthCheck, bool]] = deque()
+        self.queued_requests: deque[tuple[ClientRequest | Rejection | HealthCheck, bool]] = deque()
         self.request_id = 0  # the node's number of the request that is being served; 0: none
         self.serving_request = self.serving_queue = False
         self.keep_alive = True  # after the current response
         self.input_finished = False  # no further request is read, or the last response has been written
         self.output_finished = False  # no further response can be sent
+        self.writing_paused = False  # the client takes less than is written
         # Why reading is paused: enough requests are queued, or no server reads the body as fast.
         self.paused_for_queue = self.paused_for_upload = False
         self.receiving_request = False  # a request has arrived in part
         self.request_timer: asyncio.TimerHandle | None = None  # runs while a request arrives
-        self.request_started_at = 0.0  # loop time of its first byte, moved on by the time of upload pauses
+        # Loop time of its first byte, moved on by the times in which the node held up the connection.
+        self.request_started_at = 0.0
         self.upload_paused_at = 0.0  # loop time
         self.url = b""
         self.headers = Headers()
@@ -452,6 +486,7 @@
         # A cast, as uvloop's transports are no subclasses of asyncio's. uvloop sets TCP_NODELAY on them.
         self.transport = cast(asyncio.Transport, transport)
         self.descriptor: int = transport.get_extra_info("socket").fileno()
+        self.transport.set_write_buffer_limits(MAX_UNSENT_BYTES)
         self.listener.on_connection_opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -504,7 +539,9 @@
     # Reading requests.
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return self.listener.body_budget.read_buffer()
+        receiving_body = self.receiving_request and self.headers.complete
+        budget = self.listener.body_budget
+        return budget.read_buffer() if receiving_body else budget.read_buffer(HEAD_READ_BYTES)
 
     def buffer_updated(self, nbytes: int) -> None:
         if self.output_finished or (self.input_finished and not self.receiving_request):
@@ -579,11 +616,11 @@
             if self.response_streaming:
                 self.abort_response()
             else:
-                self.send_response(error.status, extra_headers=error.extra_headers)
+                self.reject(error.rejection)
         else:
             if upload is not None:
                 self.queued_requests.pop()  # the error replaces it
-            self.queued_requests.append((error, False))
+            self.queued_requests.append((error.rejection, False))
 
     def stop_receiving_request(self) -> None:
         """Stop the timer and the upload of the request that was arriving, complete or not."""
@@ -616,7 +653,7 @@
             + self.body_bytes_received / MIN_UPLOAD_BYTES_PER_S
             - loop.time()
         )
-        if self.paused_for_upload or time_left_s > 0:
+        if self.paused_for_upload or self in self.listener.slow_readers or time_left_s > 0:
             self.request_timer = loop.call_later(max(time_left_s, SWEEP_INTERVAL_S), self.on_request_timeout)
             return
         self.stop_reading(BadRequest(408))
@@ -722,7 +759,7 @@
         try:
             self.queued_requests.append((self.build_request(), keep_alive))
         except BadRequest as error:
-            self.queued_requests.append((error, keep_alive))
+            self.queued_requests.append((error.rejection, keep_alive))
 
     def finish_upload(self, upload: Upload) -> None:
         """Forward the end of a body, or finish with the connection if the response is already sent."""
@@ -774,13 +811,13 @@
             return
         self.serving_queue = True
         handler = self.listener.handler
-        while self.queued_requests and not self.serving_request and not self.output_finished:
+        while self.can_serve_next():
             item, self.keep_alive = self.queued_requests.popleft()
             self.serving_request = True
             if isinstance(item, ClientRequest):
                 self.serve_request(item)
-            elif isinstance(item, BadRequest):
-                self.send_response(item.status, extra_headers=item.extra_headers)
+            elif isinstance(item, Rejection):
+                self.reject(item)
             elif handler.ready:
                 self.send_response(200, b"ok\n", b"text/plain")
             else:
@@ -791,10 +828,27 @@
             and self.receiving_request
             and self.upload is None
             and not self.serving_request
+            and not self.queued_requests
             and not self.input_finished
         ):
             self.send_continue()  # all earlier requests have their responses
 
+    def can_serve_next(self) -> bool:
+        """Whether a request waits, and its response can be sent.
+
+        While the client does not take earlier responses, none is added to them: it could take any amount of
+        memory.
+        """
+        if not self.queued_requests or self.serving_request or self.output_finished:
+            return False
+        if self.writing_paused:
+            self.listener.add_slow_reader(self)
+        return not self.writing_paused
+
+    def reject(self, rejection: Rejection) -> None:
+        """Respond to an invalid request."""
+        self.send_response(rejection.status, extra_headers=rejection.extra_headers)
+
     def serve_request(self, request: ClientRequest) -> None:
         """Pass a request to the handler, and ask for its body if the client waits for that."""
         upload = request.message.upload
@@ -854,7 +908,7 @@
         if self.response_chunked:
             self.transport.write(b"0\r\n\r\n")
         self.response_chunked = self.response_streaming = False
-        self.transport.set_write_buffer_limits()
+        self.transport.set_write_buffer_limits(MAX_UNSENT_BYTES)
         # If a drain has begun since the head was sent, the connection closes without `Connection: close`.
         # Between requests that is harmless.
         self.on_response_sent(self.keep_alive)
@@ -862,19 +916,29 @@
     def abort_response(self) -> None:
         """Reset the connection, so that the client sees that the response is incomplete."""
         self.request_id = 0
+        self.reset("answer_broke_off")
+
+    def reset(self, cause: str) -> None:
+        """Reset the connection, with all that the client has not taken."""
         self.input_finished = True
-        log_event("client_reset", connection=self.descriptor, cause="answer_broke_off")
+        log_event("client_reset", connection=self.descriptor, cause=cause)
         reset_connection(self.transport)
 
     def pause_writing(self) -> None:
+        self.writing_paused = True
         self.log_flow("client_reads_slowly")
         if self.response_streaming:
             self.listener.handler.pause_response(self.request_id, True)
 
     def resume_writing(self) -> None:
+        self.writing_paused = False
         self.log_flow("client_reads_again")
         if self.response_streaming:
             self.listener.handler.pause_response(self.request_id, False)
+        if (progress := self.listener.slow_readers.pop(self, None)) is not None:
+            held_up_since = max(progress.started_at, self.request_started_at)
+            self.request_started_at += self.listener.loop.time() - held_up_since
+            self.serve_next_requests()
 
     def log_flow(self, name: str) -> None:
         """Log that the client takes less than is written, or takes it again."""
--- a/flaxstep/proxy/connection_close.py
+++ b/flaxstep/proxy/connection_close.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import select
 import socket
 import struct
@@ -18,6 +19,25 @@
 }
 
 
+class WriteProgress:
+    """Whether the other side of a connection takes what is written to it. Times are in s, from one clock."""
+
+    def __init__(self, transport: asyncio.Transport, now: float) -> None:
+        self.transport = transport
+        self.unsent_bytes = transport.get_write_buffer_size()
+        self.started_at = self.unchanged_since = now
+
+    def stalled(self, now: float, timeout_when_sent_s: float = math.inf) -> bool:
+        """Whether no byte has been taken for WRITE_STALL_TIMEOUT_S, as far as the calls so far can tell.
+
+        Once all bytes are sent, `timeout_when_sent_s` counts instead.
+        """
+        unsent_bytes = self.transport.get_write_buffer_size()
+        if unsent_bytes != self.unsent_bytes:
+            self.unsent_bytes, self.unchanged_since = unsent_bytes, now
+        return now - self.unchanged_since >= (WRITE_STALL_TIMEOUT_S if unsent_bytes else timeout_when_sent_s)
+
+
 def close_after_response(loop: asyncio.AbstractEventLoop, transport: asyncio.Transport) -> None:
     """Close a connection after its last response (a lingering close).
 
@@ -29,25 +49,17 @@
         transport.close()
         return
     transport.write_eof()
-    _linger(loop, transport, transport.get_write_buffer_size(), loop.time())
-
+    _linger(loop, transport, WriteProgress(transport, loop.time()))
 
-def _linger(
-    loop: asyncio.AbstractEventLoop, transport: asyncio.Transport, unsent_bytes: int, unchanged_since: float
-) -> None:
-    """Abort the connection once it has lingered, or once its client has stopped reading the response.
 
-    `unsent_bytes` have been left in the write buffer since the loop time `unchanged_since`.
-    """
+def _linger(loop: asyncio.AbstractEventLoop, transport: asyncio.Transport, progress: WriteProgress) -> None:
+    """Abort the connection once it has lingered, or once its client has stopped reading the response."""
     if transport.is_closing():
         return
-    now_unsent_bytes = transport.get_write_buffer_size()
-    if now_unsent_bytes != unsent_bytes:
-        unsent_bytes, unchanged_since = now_unsent_bytes, loop.time()
-    if loop.time() - unchanged_since >= (WRITE_STALL_TIMEOUT_S if unsent_bytes else LINGER_TIMEOUT_S):
+    if progress.stalled(loop.time(), LINGER_TIMEOUT_S):
         transport.abort()
     else:
-        loop.call_later(LINGER_TIMEOUT_S / 4, _linger, loop, transport, unsent_bytes, unchanged_since)
+        loop.call_later(LINGER_TIMEOUT_S / 4, _linger, loop, transport, progress)
 
 
 def poll_unread_input(descriptor: int) -> select.poll:
--- a/flaxstep/proxy/request_bodies.py
+++ b/flaxstep/proxy/request_bodies.py
@@ -24,9 +24,9 @@
             max(self.total_bytes // max(self.body_count, 1), MIN_BODY_SHARE_BYTES), BUFFERED_BODY_BYTES
         )
 
-    def read_buffer(self) -> memoryview:
-        """The part of the shared buffer for one read: no read exceeds the share of a body."""
-        return memoryview(self.buffer)[: self.share_bytes]
+    def read_buffer(self, max_bytes: int = BUFFERED_BODY_BYTES) -> memoryview:
+        """The part of the shared buffer for one read: no read exceeds the share of a body, or `max_bytes`."""
+        return memoryview(self.buffer)[: min(self.share_bytes, max_bytes)]
 
 
 class UploadSource(Protocol):
