Start the request timer only when a read leaves a request incomplete

Callers saw: with 60 clients that send much and read nothing, a node at 64 of 64 MB in 1.3 s, killed, although its queues and transports held under 100 KB in all. Cause: on_message_begin started a timer for each request; uvloop frees a cancelled timer at the end of the loop's iteration, in which thousands of requests may be read. Evidence: Python's arenas reached 34 MB with 14 such clients while traced objects peaked at 9 MB; without these timers 9 MB of arenas. Change: buffer_updated starts the timer if a request is incomplete after a read. Why it works: a request that arrives whole, as most do, has no timer at all.

--- a/flaxstep/proxy/client_connections.py
+++ b/flaxstep/proxy/client_connections.py
@@ -565,6 +565,10 @@
         if not self.paused_for_queue and self.queue_is_full():
             self.paused_for_queue = True
             self.update_reading()
+        if self.receiving_request and self.request_timer is None:
+            # Not in on_message_begin: requests that arrive whole need none, and a cancelled timer takes
+            # memory until the end of the loop's iteration, in which many requests may be read.
+            self.request_timer = self.listener.loop.call_later(REQUEST_TIMEOUT_S, self.on_request_timeout)
         self.serve_next_requests()
 
     def queue_is_full(self) -> bool:
@@ -627,6 +631,7 @@
         self.receiving_request = False
         if self.request_timer is not None:
             self.request_timer.cancel()
+            self.request_timer = None
         if self.counted_in_budget:
             self.counted_in_budget = False
             self.listener.body_budget.body_count -= 1
@@ -642,7 +647,6 @@
         self.url = b""
         self.receiving_request = True
         self.request_started_at = self.listener.loop.time()
-        self.request_timer = self.listener.loop.call_later(REQUEST_TIMEOUT_S, self.on_request_timeout)
 
     def on_request_timeout(self) -> None:
         """Respond with 408 unless the body arrives fast enough: no request may hold a descriptor for ever."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -811,6 +811,40 @@
     run(test())
 
 
+class TimerCountingLoop:
+    """The event loop, with a count of the timers for requests that have not arrived completely."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.request_timers = 0
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.loop, name)
+
+    def call_later(self, delay_s: float, callback: Any, *arguments: Any) -> asyncio.TimerHandle:
+        self.request_timers += callback.__name__ == "on_request_timeout"
+        return self.loop.call_later(delay_s, callback, *arguments)
+
+
+# Guards against: a flood of requests takes memory for a timer each until the loop's iteration ends.
+def test_request_that_arrives_whole_starts_no_timer() -> None:
+    async def test() -> None:
+        async with run_node(await FakeServer().start()) as fixture:
+            loop = TimerCountingLoop(asyncio.get_running_loop())
+            fixture.node.listener.loop = loop  # type: ignore[assignment]
+            client = await fixture.connect_client()
+            assert (await client.send_request(build_request("pay", body=b"job")))[0] == 200
+            assert loop.request_timers == 0
+            data = b"GET /_health HTTP/1.1\r\n\r\n" * 1000
+            client.writer.write(data)
+            for _ in range(1000):
+                assert (await client.read_response())[0] == 200
+            # A read may end within a request. Small segments may make reads smaller than they could be.
+            assert loop.request_timers <= 4 * len(data) // client_connections.HEAD_READ_BYTES
+
+    run(test())
+
+
 @pytest.mark.parametrize(
     "data",
     [b"", b"GET /find/1 HTTP/1.1\r\nHost:", b"GET /_health HTTP/1.1\r\n\r\n", build_request("unknown")],
