Resume the reading that was paused for a response when its attempt ends

Cause: if a slow client paused the reading with the last piece of its response, the connection went to the pool paused. resume_writing found no streamed response, and send_request reset the flag but not the transport; the next response was not read. Evidence: upstream_read_paused, upstream_pooled reading_paused=True, attempt_sent, nothing more, for the lost request followed; 15 such returns to the pool, 15 lost. Change: detach_attempt, which ends every attempt, resumes the reading. Alike: a connection that still holds bytes of an answered request is aborted in place of pooled, and a paused body behind the last response is read to its end and discarded. Why it works: no pause or unsent byte of one request is left for the next one.

--- a/flaxstep/proxy/client_connections.py
+++ b/flaxstep/proxy/client_connections.py
@@ -985,6 +985,8 @@
         self.queued_requests.clear()
         self.paused_for_queue = False
         self.update_reading()
-        if self.upload is None:  # else finish_upload closes it once the body is read
+        if self.upload is None:
             self.stop_receiving_request()
             self.half_close("last_answer")
+        else:  # finish_upload closes it once the body is read
+            self.upload.discard_rest()
--- a/flaxstep/proxy/server_connections.py
+++ b/flaxstep/proxy/server_connections.py
@@ -35,7 +35,9 @@
 # and at a rate that exceeds that of the others by this margin.
 MIN_IDLE_RESETS, IDLE_RESET_RATE_MARGIN = 3.0, 0.2
 # Causes for which a connection is aborted at once, without sending what is left in its write buffer.
-ABORT_CAUSES = frozenset({"bytes_unasked", "makes_room", "came_up_late", "endpoint_changed_while_connecting"})
+ABORT_CAUSES = frozenset(
+    {"answered_early", "bytes_unasked", "makes_room", "came_up_late", "endpoint_changed_while_connecting"}
+)
 IDLE_STATS_HALF_LIFE_SWEEPS = 5
 
 log = logging.getLogger("flaxstep.proxy")
@@ -215,6 +217,9 @@
         if self.counted_in_budget:
             self.counted_in_budget = False
             self.pool.body_budget.body_count -= 1
+        if self.reading_paused:
+            # The client of this attempt reads slowly; the response to the next one must be read all the same.
+            self.pause_reading_response(False)
         if attempt is not None and attempt.message.upload is not None:
             attempt.message.upload.detach()
         return attempt
@@ -233,7 +238,7 @@
             upstream=self.descriptor,
             reused=self.idle_before_ms is not None,
         )
-        self.response_complete = self.response_begun = self.head_received = self.reading_paused = False
+        self.response_complete = self.response_begun = self.head_received = False
         self.body_size, self.content_length, self.transfer_coding = 0, None, b""
         timeout_ms = max(1, int(attempt.deadline - now_ms()))
         message, upload = attempt.message, attempt.message.upload
@@ -327,7 +332,9 @@
     def finish_response(self) -> None:
         """End the attempt with its response, which is complete or as complete as it needs to be."""
         assert self.attempt is not None
-        request_sent, body = self.attempt.request_written, b"".join(self.buffered_body)
+        # If the transport still holds bytes of the request, the next one would wait behind them.
+        request_sent = self.attempt.request_written and not self.transport.get_write_buffer_size()
+        body = b"".join(self.buffered_body)
         attempt = self.detach_attempt()
         assert attempt is not None
         self.record_idle_use(reset=False)
