KNOWN-RED.txt: four fields with command and seed; scripts may be listed

Need: an entry shall hold test, command and seed, what was seen and the open issue. The reader knew three fields and tests under tests/ alone, so a failing case of review/ could not be listed. Change: known_red.py reads `TEST | COMMAND, seed N | SEEN | issue N`; the command has to run the test that is named, and a script has to exist. All that was refused before (malformed, repeated, stale, over three) still is.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -22,14 +22,14 @@
     reds = config.stash[KNOWN_REDS]
     # With paths on the command line only some of the tests are collected.
     if config.args_source is pytest.Config.ArgsSource.TESTPATHS:
-        for red in known_red.find_stale_entries(reds, (item.nodeid for item in items)):
-            raise pytest.UsageError(f"KNOWN-RED.txt: {red.test} names no test")
+        for red in known_red.find_stale_entries(reds, (item.nodeid for item in items), config.rootpath):
+            raise pytest.UsageError(f"KNOWN-RED.txt: {red.test} names no test and no script")
     for item in items:
         for red in reds:
             if red.matches(item.nodeid):
-                item.add_marker(pytest.mark.skip(reason=f"known red, issue {red.issue}: {red.cause}"))
+                item.add_marker(pytest.mark.skip(reason=f"known red, issue {red.issue}: {red.seen}"))
 
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter, config: pytest.Config) -> None:
     for red in config.stash[KNOWN_REDS]:
-        terminalreporter.write_line(f"KNOWN RED, passed over: {red.test} (issue {red.issue}: {red.cause})")
+        terminalreporter.write_line(f"KNOWN RED, passed over: {red}")
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,13 +1,23 @@
-"""Parses KNOWN-RED.txt, the list of failing tests that are skipped: one `test | cause | issue` per line."""
+"""Parses KNOWN-RED.txt, the list of known failures, which CI passes over.
+
+One line for each: `TEST | COMMAND, seed N | SEEN | issue N`. TEST is a pytest node id or a script of this
+repository, COMMAND runs it, `no seed` stands for a seed where it has none, and SEEN says how it failed.
+"""
 
 from __future__ import annotations
 
 import re
 from collections.abc import Iterable
 from dataclasses import dataclass
+from pathlib import Path
 
 MAX_ENTRIES = 3  # more failures than these must block a merge
-ENTRY_PATTERN = re.compile(r"(tests/\S+\.py::[^|]*\S) \| ([^|]*[^|\s]) \| issue (\d+)")
+ENTRY_FORM = "TEST | COMMAND, seed N (or: no seed) | SEEN | issue N"
+ENTRY_PATTERN = re.compile(
+    r"(?P<test>[^\s|]+) \| (?P<command>[^|]*[^|\s]), (?:seed (?P<seed>\d+)|no seed)"
+    r" \| (?P<seen>[^|]*[^|\s]) \| issue (?P<issue>\d+)"
+)
+NODE_ID_PATTERN = re.compile(r"tests/\S+\.py::\S+")
 
 
 class InvalidList(Exception):
@@ -18,12 +28,22 @@
 class KnownRed:
     """A test that fails because of a real bug that is not fixed yet."""
 
-    test: str  # node id; without parameters it stands for all cases of the test
-    cause: str
+    test: str  # node id (without parameters it stands for all cases of the test), or path of a script
+    command: str
+    seed: int | None
+    seen: str
     issue: int
 
+    @property
+    def is_node_id(self) -> bool:
+        return NODE_ID_PATTERN.fullmatch(self.test) is not None
+
     def matches(self, node_id: str) -> bool:
-        return node_id == self.test or node_id.startswith(self.test + "[")
+        return self.is_node_id and (node_id == self.test or node_id.startswith(self.test + "["))
+
+    def __str__(self) -> str:
+        seed = "no seed" if self.seed is None else f"seed {self.seed}"
+        return f"{self.test} (issue {self.issue}: {self.seen}; {self.command}, {seed})"
 
 
 def parse_list(text: str) -> list[KnownRed]:
@@ -35,16 +55,24 @@
     for number, line in enumerate(text.splitlines(), 1):
         match = ENTRY_PATTERN.fullmatch(line)
         if match is None:
-            raise InvalidList(f"KNOWN-RED.txt, line {number}: not 'tests/FILE.py::TEST | CAUSE | issue N'")
-        if any(red.test == match[1] for red in entries):
-            raise InvalidList(f"KNOWN-RED.txt, line {number}: {match[1]} is named twice")
-        entries.append(KnownRed(match[1], match[2], int(match[3])))
+            raise InvalidList(f"KNOWN-RED.txt, line {number}: not '{ENTRY_FORM}'")
+        seed = None if match["seed"] is None else int(match["seed"])
+        red = KnownRed(match["test"], match["command"], seed, match["seen"], int(match["issue"]))
+        if red.test.split("::")[0] not in red.command.split("::")[0]:
+            raise InvalidList(f"KNOWN-RED.txt, line {number}: the command does not run {red.test}")
+        if any(other.test == red.test for other in entries):
+            raise InvalidList(f"KNOWN-RED.txt, line {number}: {red.test} is named twice")
+        entries.append(red)
     if len(entries) > MAX_ENTRIES:
         raise InvalidList(f"KNOWN-RED.txt has {len(entries)} lines: {MAX_ENTRIES} at most")
     return entries
 
 
-def find_stale_entries(reds: Iterable[KnownRed], node_ids: Iterable[str]) -> list[KnownRed]:
-    """Returns the entries that match none of the collected tests."""
+def find_stale_entries(reds: Iterable[KnownRed], node_ids: Iterable[str], root: Path) -> list[KnownRed]:
+    """Returns the entries that name none of the collected tests, nor a script below the root."""
     collected = list(node_ids)
-    return [red for red in reds if not any(red.matches(node_id) for node_id in collected)]
+    return [
+        red
+        for red in reds
+        if not (any(map(red.matches, collected)) if red.is_node_id else (root / red.test).is_file())
+    ]
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -10,7 +10,9 @@
 import pytest
 
 TESTS_FOLDER = Path(__file__).parent
-VALID_ENTRY = "tests/test_it.py::test_red | a fault | issue 7\n"
+COMMAND = "pytest tests/test_it.py::test_red, seed 3"
+VALID_ENTRY = f"tests/test_it.py::test_red | {COMMAND} | a fault | issue 7\n"
+SCRIPT_ENTRY = "cases/run.sh | cases/run.sh, no seed | lost 3 of 9 | issue 8\n"
 
 
 def run_pytest(root: Path, known_red: str | None) -> tuple[int, str]:
@@ -40,7 +42,15 @@
 def test_listed_test_is_skipped_and_reported(tmp_path: Path) -> None:
     code, out = run_pytest(tmp_path, VALID_ENTRY)
     assert code == 0 and "1 passed, 2 skipped" in out
-    assert "KNOWN RED, passed over: tests/test_it.py::test_red (issue 7: a fault)" in out
+    assert f"KNOWN RED, passed over: tests/test_it.py::test_red (issue 7: a fault; {COMMAND})" in out
+
+
+def test_listed_script_is_reported_and_no_test_is_skipped_for_it(tmp_path: Path) -> None:
+    (tmp_path / "cases").mkdir()
+    (tmp_path / "cases" / "run.sh").write_text("exit 1\n")
+    code, out = run_pytest(tmp_path, VALID_ENTRY + SCRIPT_ENTRY)
+    assert code == 0 and "1 passed, 2 skipped" in out
+    assert "KNOWN RED, passed over: cases/run.sh (issue 8: lost 3 of 9; cases/run.sh, no seed)" in out
 
 
 @pytest.mark.parametrize("known_red", [None, ""])
@@ -52,14 +62,19 @@
 @pytest.mark.parametrize(
     ("known_red", "message"),
     [
-        (VALID_ENTRY + "tests/test_it.py::test_gone | a fault | issue 7\n", "test_gone names no test"),
-        ("".join(f"tests/test_it.py::test_{i} | a fault | issue 7\n" for i in range(4)), "3 at most"),
+        (VALID_ENTRY + VALID_ENTRY.replace("test_red", "test_gone"), "test_gone names no test"),
+        (VALID_ENTRY + SCRIPT_ENTRY, "cases/run.sh names no test and no script"),
+        ("".join(VALID_ENTRY.replace("test_red", f"test_{i}") for i in range(4)), "3 at most"),
         (VALID_ENTRY + VALID_ENTRY, "named twice"),
         (VALID_ENTRY + "\n", "line 2"),
         ("tests/test_it.py::test_red\n", "line 1"),
-        ("tests/test_it.py::test_red | | issue 7\n", "line 1"),
-        ("tests/test_it.py::test_red | a fault | soon\n", "line 1"),
-        ("# tests/test_it.py::test_red | a fault | issue 7\n", "line 1"),
+        ("tests/test_it.py::test_red | a fault | issue 7\n", "line 1"),
+        (VALID_ENTRY.replace("a fault", ""), "line 1"),
+        (VALID_ENTRY.replace("issue 7", "soon"), "line 1"),
+        (VALID_ENTRY.replace(", seed 3", ""), "line 1"),
+        (VALID_ENTRY.replace("seed 3", "seed three"), "line 1"),
+        (VALID_ENTRY.replace(COMMAND, "pytest tests/test_other.py, no seed"), "does not run"),
+        ("# " + VALID_ENTRY, "line 1"),
     ],
 )
 def test_invalid_list_is_an_error(tmp_path: Path, known_red: str, message: str) -> None:
