Part client_connections.py: listener, requests and identifiers in modules of their own

Connections know the listener by the protocol ConnectionSupervisor, so that no import cycle is needed. Headers is RequestHeaders now, validate_request a function.

--- a/flaxstep/proxy/client_connections.py
+++ b/flaxstep/proxy/client_connections.py
@@ -1,18 +1,22 @@
-"""Client connections: the listener, the parsing and checking of requests, and the responses to clients."""
+"""Client connections: the requests that arrive on them, in order, and the responses to their clients."""
 
 from __future__ import annotations
 
 import asyncio
 import re
-import select
-import socket
 from collections import OrderedDict, deque
-from dataclasses import dataclass
-from hashlib import blake2b
-from typing import Any, Protocol, cast
+from typing import Protocol, cast
 
 import httptools
 
+from flaxstep.proxy.client_requests import (
+    BadRequest,
+    ClientRequest,
+    HealthCheck,
+    Rejection,
+    RequestHeaders,
+    validate_request,
+)
 from flaxstep.proxy.config import Config
 from flaxstep.proxy.connection_close import (
     STATUS_LINES,
@@ -31,78 +35,19 @@
 from flaxstep.proxy.request_parser import RequestParser, UnsupportedConnect
 from flaxstep.proxy.server_connections import ForwardedRequest
 from flaxstep.proxy.wall_clock import now_ms
-from flaxstep.routing.interface import Effect
 
 MAX_HEAD_BYTES = 16384  # of the request line and all headers
 MAX_PIPELINED_REQUESTS = 16  # queued on one connection; with more, reading from it pauses
-HEAD_READ_BYTES = (
-    4096  # in one read outside of bodies; the requests in it are queued even if they are too many
-)
+HEAD_READ_BYTES = 4096  # in one read outside of bodies; all requests in it are queued, however many
 # Of responses that the client does not take; with more, its next requests wait. One response may exceed this.
 MAX_UNSENT_BYTES = 4096
 REQUEST_TIMEOUT_S = 2.6  # for a client to send one request; some clients take 2 s for the head alone
-# From the opening of a connection to its first valid request. A client must be given up after at most 3 s.
-FIRST_REQUEST_TIMEOUT_S = 2.6
 # A body that arrives at this rate extends the timeouts of its request; slow clients send twice as fast.
 MIN_UPLOAD_BYTES_PER_S = 32768
-MAX_ACCEPT_QUEUE = 4096  # the listen() backlog in connections; the kernel caps it at its own limit
-# Without a byte of its first request for this long, a connection is evicted before idle ones.
-FIRST_REQUEST_STALL_S = 0.5
-SWEEP_INTERVAL_S = 0.1  # between searches for connections that send no valid request
-# From the opening of a connection: during a drain it may still send its first request for this long.
-DRAIN_GRACE_FOR_NEW_S = 0.3
+REQUEST_TIMER_PAUSE_S = 0.1  # before a request is looked at again that was held up or is nearly overdue
 HEALTH_PATH = b"/_health"
 
-_TIMEOUT_PATTERN = re.compile(rb"(\d{1,9}(?:\.\d{1,6})?)([mu])")
 _ABSOLUTE_URL_PREFIX = re.compile(rb"https?://[^/?#]+", re.IGNORECASE)
-_DIGITS_PATTERN = re.compile(rb"\d{1,9}")
-# Hop-by-hop headers, and headers that each attempt writes with values of its own.
-_HEADERS_NOT_FORWARDED = frozenset(
-    (b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
-     b"expect", b"content-length", b"request-timeout")
-)  # fmt: skip
-
-
-def stable_id(name: bytes) -> int:
-    """Hash a name to a non-zero number that is the same at every node and after every start."""
-    return int.from_bytes(blake2b(name, digest_size=8).digest()) or 1
-
-
-@dataclass(slots=True, frozen=True)
-class Rejection:
-    """The response to an invalid request: its status, and header lines to send with it."""
-
-    status: int
-    extra_headers: bytes
-
-
-class BadRequest(Exception):
-    """A request that is rejected."""
-
-    def __init__(self, status: int, extra_headers: bytes = b"") -> None:
-        self.rejection = Rejection(status, extra_headers)
-
-
-@dataclass(slots=True)
-class ClientRequest:
-    """A valid request from a client.
-
-    `key` is the hash of the last part of the path after the class; the policy may route by it. 0: none.
-    """
-
-    message: ForwardedRequest
-    cls: int
-    tenant: int
-    key: int
-    sent_at_ms: float  # when the node parsed the request, the closest known time to its sending
-    timeout_ms: float  # from then until the client gives up
-    work_hint_ms: float  # the client's estimate of the work; 0: none given
-    is_client_retry: bool  # the client has marked it with Client-Retry
-    awaits_continue: bool = False  # the client sends the body only after a 100 (Continue) response
-
-
-class HealthCheck:
-    """A request of the load balancer in front of the nodes: can this node serve requests?"""
 
 
 class RequestHandler(Protocol):
@@ -129,323 +74,42 @@
         """Pause the response while the client does not read it fast enough, or resume it."""
 
 
-class Listener:
-    """Accepts client connections and keeps them within the limit of descriptors.
+class ConnectionSupervisor(Protocol):
+    """Keeps the client connections within their limits; the listener implements it.
 
-    A connection that has sent no valid request in time is closed, and so is an idle one while the node
-    drains. Over the limit, the connections that cost their clients least are evicted.
+    Connections enter and leave `idle` (between requests), `read_paused` (by descriptor) and `slow_readers`
+    (their requests wait until the client takes earlier responses) by themselves.
     """
 
-    def __init__(
-        self,
-        loop: asyncio.AbstractEventLoop,
-        config: Config,
-        handler: RequestHandler,
-        max_connections: int,
-        body_budget: BodyBudget,
-    ) -> None:
-        self.loop = loop
-        self.body_budget = body_budget
-        self.config = config
-        self.handler = handler
-        self.max_connections = max_connections
-        self.connections: set[ClientConnection] = set()
-        # Connections closed on this side that wait for the client to close too. They still hold descriptors.
-        self.lingering: OrderedDict[ClientConnection, None] = OrderedDict()
-        self.read_paused: dict[int, ClientConnection] = {}  # by descriptor
-        # Connections whose requests wait until their client takes the responses to earlier ones.
-        self.slow_readers: dict[ClientConnection, WriteProgress] = {}
-        # Candidates for eviction, each with the loop time since which it is in that state, oldest first.
-        self.awaiting_first_byte: OrderedDict[ClientConnection, float] = OrderedDict()
-        self.receiving_first_request: OrderedDict[ClientConnection, float] = OrderedDict()
-        self.idle: OrderedDict[ClientConnection, float] = OrderedDict()  # between requests
-        # Connections that were in the kernel's queue when the listener closed.
-        self.accept_tasks: set[asyncio.Task[Any]] = set()
-        # Connections that have sent no valid request yet, with the loop time at which they opened.
-        self.awaiting_first_request: OrderedDict[ClientConnection, float] = OrderedDict()
-
-    async def start(self) -> asyncio.Server:
-        """Listen on the configured address."""
-        self.socket = self.bind_socket()
-        try:
-            self.server = await self.loop.create_server(
-                self.create_connection, sock=self.socket, backlog=MAX_ACCEPT_QUEUE
-            )
-        except OSError:
-            self.socket.close()
-            raise
-        self.loop.call_later(SWEEP_INTERVAL_S, self.sweep_connections)
-        return self.server
-
-    def bind_socket(self) -> socket.socket:
-        """Return a socket bound to the configured address."""
-        host, port = self.config.listen
-        family, kind, protocol, _, address = socket.getaddrinfo(host, port, type=socket.SOCK_STREAM)[0]
-        listening_socket = socket.socket(family, kind, protocol)
-        try:
-            listening_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            if self.config.admin is not None:  # during an upgrade the new process listens on the same port
-                listening_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-            listening_socket.setblocking(False)
-            listening_socket.bind(address)
-        except OSError:
-            listening_socket.close()
-            raise
-        return listening_socket
-
-    def create_connection(self) -> ClientConnection:
-        return ClientConnection(self)
-
-    def stop_accepting(self) -> None:
-        """Close the listening socket, but first accept what the kernel has queued: a close would reset it."""
-        while True:
-            try:
-                accepted_socket, _ = self.socket.accept()
-            except OSError:  # the queue is empty, or no descriptor is left
-                break
-            accepted_socket.setblocking(False)
-            accepted_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            accept_task = self.loop.create_task(
-                self.loop.connect_accepted_socket(self.create_connection, accepted_socket)
-            )
-            self.accept_tasks.add(accept_task)
-            accept_task.add_done_callback(self.accept_tasks.discard)
-        self.server.close()
-
-    @property
-    def has_clients(self) -> bool:
-        """Whether any client is connected, including those being accepted and those lingering."""
-        return bool(self.connections or self.lingering or self.accept_tasks)
-
-    def set_limit(self, max_connections: int) -> None:
-        """Change the limit of connections, and evict those over it."""
-        self.max_connections = max_connections
-        self.enforce_connection_limit(None)
+    loop: asyncio.AbstractEventLoop
+    config: Config
+    handler: RequestHandler
+    body_budget: BodyBudget
+    idle: OrderedDict[ClientConnection, float]
+    read_paused: dict[int, ClientConnection]
+    receiving_first_request: OrderedDict[ClientConnection, float]
+    slow_readers: dict[ClientConnection, WriteProgress]
 
     def on_connection_opened(self, client: ClientConnection) -> None:
         """Supervise a new connection, and evict another if it is one too many."""
-        log_event("client_connected", connection=client.descriptor)
-        self.connections.add(client)
-        self.awaiting_first_byte[client] = self.awaiting_first_request[client] = self.loop.time()
-        self.enforce_connection_limit(client)
-
-    def enforce_connection_limit(self, newest: ClientConnection | None) -> None:
-        """Evict connections until the limit is met.
-
-        An evicted connection is closed in an orderly way and lingers with its descriptor; the next
-        iteration aborts it once all that was written to it has been sent.
-        """
-        while len(self.connections) + len(self.lingering) > self.max_connections and self.evict_connection(
-            newest
-        ):
-            pass
-
-    def evict_connection(self, newest: ClientConnection | None) -> bool:
-        """Close one connection and return whether there was one.
-
-        First come connections that linger, then those that have sent nothing, or no byte of their first
-        request for some time. Then come idle ones, as clients cope with a close between requests, and last
-        those whose first request still arrives.
-        """
-        for lingering in self.lingering:
-            if not lingering.transport.get_write_buffer_size():
-                del self.lingering[lingering]
-                lingering.transport.abort()
-                return True
-        stalled = next(iter(self.receiving_first_request), None)
-        if (
-            stalled is not None
-            and self.receiving_first_request[stalled] > self.loop.time() - FIRST_REQUEST_STALL_S
-        ):
-            stalled = None
-        candidates = (
-            next(iter(self.awaiting_first_byte), None),
-            stalled,
-            next(iter(self.idle), None),
-            next(iter(self.receiving_first_request), None),
-        )
-        for client in candidates:
-            if client is not None and client is not newest:
-                client.close("makes_room")
-                return True
-        return False
 
     def on_bytes_received(self, client: ClientConnection) -> None:
         """Note that a connection without a valid request so far makes progress."""
-        if client in self.awaiting_first_request:
-            self.awaiting_first_byte.pop(client, None)
-            self.receiving_first_request[client] = self.loop.time()
-            self.receiving_first_request.move_to_end(client)
 
     def on_valid_request(self, client: ClientConnection) -> None:
         """End the supervision of a connection that has sent a valid request."""
-        self.awaiting_first_request.pop(client, None)
-        self.receiving_first_request.pop(client, None)
 
     def add_slow_reader(self, client: ClientConnection) -> None:
         """Watch whether a client takes the responses that its further requests wait for."""
-        if client not in self.slow_readers:
-            self.slow_readers[client] = WriteProgress(client.transport, self.loop.time())
 
     def start_lingering(self, client: ClientConnection) -> None:
         """Note that the last response is written. The connection counts against the limit until it closes."""
-        self.on_connection_closed(client)
-        self.lingering[client] = None
 
     def on_connection_closed(self, client: ClientConnection) -> None:
         """Forget a connection whose transport has closed, or that lingers from now on."""
-        self.connections.discard(client)
-        self.lingering.pop(client, None)
-        self.exclude_from_eviction(client)
 
     def exclude_from_eviction(self, client: ClientConnection) -> None:
-        """Neither evict nor time out this connection, which is about to close.
-
-        Its descriptor still counts until its transport closes in the next turn of the loop.
-        """
-        self.slow_readers.pop(client, None)
-        for group in (
-            self.awaiting_first_byte,
-            self.receiving_first_request,
-            self.idle,
-            self.awaiting_first_request,
-        ):
-            group.pop(client, None)
-
-    def detect_closed_while_paused(self) -> None:
-        """Poll for clients that have closed while reading is paused: the transport does not report those."""
-        if not self.read_paused:
-            return
-        poller = select.poll()
-        for descriptor in self.read_paused:
-            poller.register(descriptor, select.POLLRDHUP)
-        for descriptor, _ in poller.poll(0):
-            # Closing one connection may resume reading on another that was polled with it.
-            if (client := self.read_paused.get(descriptor)) is not None:
-                client.abandon_paused()
-
-    def sweep_connections(self) -> None:
-        """Close connections whose client has gone or sent no valid request in time.
-
-        They must not hold descriptors.
-        """
-        self.loop.call_later(SWEEP_INTERVAL_S, self.sweep_connections)
-        self.detect_closed_while_paused()
-        self.reset_stalled_readers()
-        oldest_allowed = self.loop.time() - FIRST_REQUEST_TIMEOUT_S
-        for client, opened_at in [
-            entry for entry in self.awaiting_first_request.items() if entry[1] < oldest_allowed
-        ]:
-            client.on_first_request_timeout(oldest_allowed - opened_at)
-        if self.handler.draining:
-            self.close_idle()
-
-    def reset_stalled_readers(self) -> None:
-        """Reset connections whose client takes no responses although further requests of it wait."""
-        now = self.loop.time()
-        for client in [client for client, progress in self.slow_readers.items() if progress.stalled(now)]:
-            client.reset("responses_not_read")
-
-    def close_idle(self) -> None:
-        """Close idle connections, so that their clients reconnect to another node.
-
-        A connection that has only just opened may still send its first request.
-        """
-        opened_before = self.loop.time() - DRAIN_GRACE_FOR_NEW_S
-        for client in [
-            *self.idle,
-            *(client for client, opened_at in self.awaiting_first_byte.items() if opened_at < opened_before),
-        ]:
-            client.close("draining")
-
-    def reject_unfinished_requests(self) -> None:
-        """Respond with 503 to requests that are still arriving, and close connections that serve none."""
-        for client in list(self.connections):
-            if client.receiving_request and not client.input_finished:
-                client.stop_reading(BadRequest(503))
-                client.serve_next_requests()
-            elif not client.serving_request and not client.queued_requests:
-                client.close("stopping")
-
-    def count_queued_requests(self) -> int:
-        """The number of complete requests that wait for earlier ones on the same connection."""
-        queued_items = [entry for client in self.connections for entry, _ in client.queued_requests]
-        requests = [entry.message for entry in queued_items if isinstance(entry, ClientRequest)]
-        return sum(message.upload is None or message.upload.complete for message in requests)
-
-    def validate_request(self, parser: RequestParser, url: bytes, headers: Headers) -> tuple[int, int, int]:
-        """Return the class, tenant and key of a request; raise BadRequest if it is invalid."""
-        parts = url.partition(b"?")[0].split(b"/")
-        if parts[0] or len(parts) < 2:
-            raise BadRequest(400)  # not an absolute path
-        cls = self.config.classes.get(parts[1])
-        if cls is None:
-            raise BadRequest(404)
-        effect = self.config.settings.classes[cls].effect
-        method = b"GET" if effect is Effect.SAFE else b"POST"
-        if parser.get_method() != method:
-            raise BadRequest(405, b"Allow: %b\r\n" % method)
-        tenant = self.config.tenants.get(headers.tenant or b"") if self.config.tenants else 0
-        if headers.malformed or not headers.request_id or tenant is None:
-            raise BadRequest(400)
-        if effect is not Effect.SAFE and (headers.idempotency_key is None) == (effect is Effect.KEYED):
-            # A keyed request without its key, or a key in a class whose servers don't detect repeats.
-            raise BadRequest(400)
-        key = stable_id(parts[-1]) if len(parts) > 2 and parts[-1] else 0
-        return cls, tenant, key
-
-
-class Headers:
-    """The headers of one request: the values that the node uses, and the lines that it forwards."""
-
-    __slots__ = (
-        "malformed", "chunked", "awaits_continue", "work_hint_ms", "idempotency_key", "content_length",
-        "forwarded_lines", "is_client_retry", "request_id", "size_bytes", "tenant", "timeout_ms", "complete",
-    )  # fmt: skip
-
-    def __init__(self) -> None:
-        self.forwarded_lines: list[bytes] = []
-        self.size_bytes = self.content_length = 0
-        self.malformed = self.chunked = self.awaits_continue = self.complete = False
-        self.request_id: bytes | None = None
-        self.tenant: bytes | None = None
-        self.idempotency_key: bytes | None = None
-        self.timeout_ms: float | None = None
-        self.work_hint_ms, self.is_client_retry = 0.0, False
-
-    def add(self, name: bytes, value: bytes) -> None:
-        """Interpret one header, and keep its line if it is to be forwarded."""
-        lower_name = name.lower()
-        if lower_name == b"request-id":
-            self.malformed = self.malformed or self.request_id is not None
-            self.request_id = value
-        elif lower_name == b"tenant":
-            self.malformed = self.malformed or self.tenant is not None
-            self.tenant = value
-        elif lower_name == b"idempotency-key":
-            self.malformed = self.malformed or self.idempotency_key is not None or not value
-            self.idempotency_key = value
-        elif lower_name == b"request-timeout":
-            match = _TIMEOUT_PATTERN.fullmatch(value)
-            self.malformed = self.malformed or self.timeout_ms is not None or match is None
-            if match is not None:
-                self.timeout_ms = float(match[1]) / (1 if match[2] == b"m" else 1000)
-        elif lower_name == b"content-length":
-            self.content_length = int(value)  # the parser accepts digits only
-        elif lower_name == b"transfer-encoding":
-            if value.lower() != b"chunked":  # the only coding that is decoded
-                raise BadRequest(501)
-            self.chunked = True
-        elif (
-            lower_name == b"work-hint"
-        ):  # in microseconds; an invalid one is ignored, as the header is optional
-            self.work_hint_ms = int(value) / 1000 if _DIGITS_PATTERN.fullmatch(value) else 0.0
-        elif lower_name == b"client-retry":
-            self.is_client_retry = value == b"1"
-        elif lower_name == b"expect":
-            self.awaits_continue = value.lower() == b"100-continue"
-        if lower_name not in _HEADERS_NOT_FORWARDED:
-            self.forwarded_lines.append(b"%b: %b\r\n" % (name, value))
+        """Neither evict nor time out this connection, which is about to close."""
 
 
 class ClientConnection(asyncio.BufferedProtocol):
@@ -453,7 +117,7 @@
 
     transport: asyncio.Transport
 
-    def __init__(self, listener: Listener) -> None:
+    def __init__(self, listener: ConnectionSupervisor) -> None:
         self.listener = listener
         self.parser = RequestParser(self)
         # Requests that wait for their turn, each with whether to keep the connection open after its response.
@@ -472,7 +136,7 @@
         self.request_started_at = 0.0
         self.upload_paused_at = 0.0  # loop time
         self.url = b""
-        self.headers = Headers()
+        self.headers = RequestHeaders()
         self.body = bytearray()
         self.body_bytes_received = 0
         self.counted_in_budget = False  # the body that arrives is one of BodyBudget.body_count
@@ -641,7 +305,7 @@
 
     def on_message_begin(self) -> None:
         self.listener.idle.pop(self, None)
-        self.headers = Headers()
+        self.headers = RequestHeaders()
         self.body = bytearray()
         self.body_bytes_received = 0
         self.url = b""
@@ -658,7 +322,9 @@
             - loop.time()
         )
         if self.paused_for_upload or self in self.listener.slow_readers or time_left_s > 0:
-            self.request_timer = loop.call_later(max(time_left_s, SWEEP_INTERVAL_S), self.on_request_timeout)
+            self.request_timer = loop.call_later(
+                max(time_left_s, REQUEST_TIMER_PAUSE_S), self.on_request_timeout
+            )
             return
         self.stop_reading(BadRequest(408))
         self.serve_next_requests()
@@ -788,7 +454,7 @@
             if self.parser.get_method() != b"GET":
                 raise BadRequest(405, b"Allow: GET\r\n")
             return HealthCheck()
-        cls, tenant, key = self.listener.validate_request(self.parser, url, headers)
+        cls, tenant, key = validate_request(self.listener.config, self.parser, url, headers)
         method = self.parser.get_method()
         if headers.timeout_ms is None or ((self.body or headers.content_length) and method == b"GET"):
             raise BadRequest(400)
--- a/flaxstep/proxy/node.py
+++ b/flaxstep/proxy/node.py
@@ -18,16 +18,13 @@
 from typing import Any
 
 from flaxstep.proxy.admin import AdminServer, Reply
-from flaxstep.proxy.client_connections import (
-    MIN_UPLOAD_BYTES_PER_S,
-    ClientConnection,
-    ClientRequest,
-    Listener,
-    stable_id,
-)
+from flaxstep.proxy.client_connections import MIN_UPLOAD_BYTES_PER_S, ClientConnection
+from flaxstep.proxy.client_listener import Listener
+from flaxstep.proxy.client_requests import ClientRequest
 from flaxstep.proxy.config import Address, Config
 from flaxstep.proxy.discovery import Discovery
 from flaxstep.proxy.event_log import log_event
+from flaxstep.proxy.identifiers import stable_id
 from flaxstep.proxy.member_list import Endpoint, MemberList, MemberListReader
 from flaxstep.proxy.metrics import Metrics, ServerMetrics
 from flaxstep.proxy.request_bodies import MAX_REQUEST_BODY_BYTES, BodyBudget
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from flaxstep.proxy import admin, client_connections
+from flaxstep.proxy import admin, client_listener
 from tests.net import TIMEOUT_S, FakeServer, build_request, header_value, respond_ok, run_node
 from tests.test_node import run
 
@@ -121,7 +121,7 @@
 
 
 def test_quiesce_drains_node_without_losing_requests(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(client_connections, "DRAIN_GRACE_FOR_NEW_S", 0.1)
+    monkeypatch.setattr(client_listener, "DRAIN_GRACE_FOR_NEW_S", 0.1)
     release = asyncio.Event()
 
     async def delayed_response(server: FakeServer, head: bytes, writer: asyncio.StreamWriter) -> None:
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from flaxstep.proxy import client_connections, server_connections
-from flaxstep.proxy.client_connections import stable_id
+from flaxstep.proxy import client_connections, client_listener, server_connections
 from flaxstep.proxy.connection_close import reset_connection
+from flaxstep.proxy.identifiers import stable_id
 from flaxstep.proxy.request_bodies import BUFFERED_BODY_BYTES, MIN_BODY_SHARE_BYTES, BodyBudget
 from flaxstep.proxy.wall_clock import now_ms
 from flaxstep.routing.interface import Began, Outcome, Request, Result, Uploaded
@@ -432,8 +432,8 @@
 
 @pytest.mark.parametrize("stalls", [False, True])
 def test_body_rate_extends_timeout_of_first_request(monkeypatch: pytest.MonkeyPatch, stalls: bool) -> None:
-    for name in ("REQUEST_TIMEOUT_S", "FIRST_REQUEST_TIMEOUT_S"):
-        monkeypatch.setattr(client_connections, name, 0.4)
+    monkeypatch.setattr(client_connections, "REQUEST_TIMEOUT_S", 0.4)
+    monkeypatch.setattr(client_listener, "FIRST_REQUEST_TIMEOUT_S", 0.4)
     monkeypatch.setattr(client_connections, "MIN_UPLOAD_BYTES_PER_S", 20_000)
 
     async def test() -> None:
--- a/tests/test_cordon.py
+++ b/tests/test_cordon.py
@@ -11,7 +11,7 @@
 import pytest
 
 from flaxstep.proxy import shared_state
-from flaxstep.proxy.client_connections import stable_id
+from flaxstep.proxy.identifiers import stable_id
 from flaxstep.proxy.shared_state import OperatorState, SharedState
 from flaxstep.routing.interface import Cordon, ListKind, Result, Send, ServerList, State, Uncordon
 from tests.net import TIMEOUT_S, FakeServer, NodeFixture, build_request, run_node
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -15,8 +15,14 @@
 
 import pytest
 
-from flaxstep.proxy import client_connections, connection_close, discovery, server_connections
-from flaxstep.proxy.client_connections import stable_id
+from flaxstep.proxy import (
+    client_connections,
+    client_listener,
+    connection_close,
+    discovery,
+    server_connections,
+)
+from flaxstep.proxy.identifiers import stable_id
 from flaxstep.proxy.request_bodies import BUFFERED_BODY_BYTES
 from flaxstep.proxy.server_connections import Attempt, ServerConnection
 from flaxstep.routing.interface import (
@@ -761,11 +767,11 @@
     # The transport of a disconnecting client closes a turn of the loop later. Until then it remained the
     # longest idle connection, and eviction chose it again and again without end.
     evictions, limit = 0, 2
-    evict_connection = client_connections.Listener.evict_connection
+    evict_connection = client_listener.Listener.evict_connection
     abandon = client_connections.ClientConnection.abandon
 
     def count_evictions(
-        listener: client_connections.Listener, newest: client_connections.ClientConnection | None
+        listener: client_listener.Listener, newest: client_connections.ClientConnection | None
     ) -> bool:
         nonlocal evictions
         evictions += 1
@@ -784,7 +790,7 @@
                 assert (await client.send_request(build_request()))[0] == 200
             listener = fixture.node.listener
             await wait_until(lambda: len(listener.idle) == 6)
-            monkeypatch.setattr(client_connections.Listener, "evict_connection", count_evictions)
+            monkeypatch.setattr(client_listener.Listener, "evict_connection", count_evictions)
             monkeypatch.setattr(client_connections.ClientConnection, "abandon", abandon_and_lower_limit)
             clients[0].writer.close()
             await wait_until(lambda: evictions)
--- a/tests/test_member_list.py
+++ b/tests/test_member_list.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from flaxstep.proxy.client_connections import stable_id
+from flaxstep.proxy.identifiers import stable_id
 from flaxstep.proxy.member_list import MemberListReader
 from flaxstep.proxy.wall_clock import WallClock
 from flaxstep.routing.interface import ListKind, State
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,8 +13,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from flaxstep.proxy import client_connections, discovery, node, server_connections
-from flaxstep.proxy.client_connections import stable_id
+from flaxstep.proxy import client_connections, client_listener, discovery, node, server_connections
+from flaxstep.proxy.identifiers import stable_id
 from flaxstep.proxy.node import CLIENT_TIMEOUT_MARGIN_MS
 from flaxstep.proxy.server_connections import IdleLimit, ServerConnection
 from flaxstep.proxy.wall_clock import now_ms
@@ -851,8 +851,8 @@
     ids=["nothing", "part", "health", "improper"],
 )
 def test_connection_without_valid_request_is_closed(data: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(client_connections, "FIRST_REQUEST_TIMEOUT_S", 0.05)
-    monkeypatch.setattr(client_connections, "SWEEP_INTERVAL_S", 0.02)
+    monkeypatch.setattr(client_listener, "FIRST_REQUEST_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(client_listener, "SWEEP_INTERVAL_S", 0.02)
 
     async def test() -> None:
         async with run_node(await FakeServer().start()) as fixture:
@@ -884,7 +884,7 @@
 def test_slow_first_request_is_evicted_after_silent_stalled_and_idle_ones(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(client_connections, "FIRST_REQUEST_STALL_S", 1.0)
+    monkeypatch.setattr(client_listener, "FIRST_REQUEST_STALL_S", 1.0)
 
     async def test() -> None:
         async with run_node(await FakeServer().start(), sockets=96) as fixture:
--- a/tests/test_paused_reads.py
+++ b/tests/test_paused_reads.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from flaxstep.proxy.client_connections import stable_id
+from flaxstep.proxy.identifiers import stable_id
 from flaxstep.proxy.server_connections import ServerConnection
 from tests.net import OK_RESPONSE, TIMEOUT_S, FakeServer, RawClient, build_request, run_node
 from tests.test_admin import wait_until
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from flaxstep.proxy.client_connections import stable_id
+from flaxstep.proxy.identifiers import stable_id
 from flaxstep.proxy.member_list import MemberListReader
 from flaxstep.proxy.shared_state import OperatorState, SharedState
 from flaxstep.proxy.wall_clock import WallClock
