can_serve_next only asks; the slow reader is noted where serving stops

Need: a method that is named as a question also changed the listener's state. Change: serve_next_requests notes the slow reader after its loop.

--- a/flaxstep/proxy/client_connections.py
+++ b/flaxstep/proxy/client_connections.py
@@ -493,6 +493,8 @@
             else:
                 self.send_response(503)
         self.serving_queue = False
+        if self.writing_paused and self.queued_requests and not self.serving_request:
+            self.listener.add_slow_reader(self)
         if (
             self.headers.awaits_continue
             and self.receiving_request
@@ -509,11 +511,8 @@
         While the client does not take earlier responses, none is added to them: it could take any amount of
         memory.
         """
-        if not self.queued_requests or self.serving_request or self.output_finished:
-            return False
-        if self.writing_paused:
-            self.listener.add_slow_reader(self)
-        return not self.writing_paused
+        waiting = bool(self.queued_requests) and not self.serving_request
+        return waiting and not self.output_finished and not self.writing_paused
 
     def reject(self, rejection: Rejection) -> None:
         """Respond to an invalid request."""
