--- a/flaxstep/proxy/client_connections.py
+++ b/flaxstep/proxy/client_connections.py
@@ -25,6 +25,7 @@
     reset_connection,
 )
 from flaxstep.proxy.event_log import log_event
+from flaxstep.proxy.forwarded_messages import ForwardedRequest
 from flaxstep.proxy.request_bodies import (
     BUFFERED_BODY_BYTES,
     MAX_REQUEST_BODY_BYTES,
@@ -33,7 +34,6 @@
     Upload,
 )
 from flaxstep.proxy.request_parser import RequestParser, UnsupportedConnect
-from flaxstep.proxy.server_connections import ForwardedRequest
 from flaxstep.proxy.wall_clock import now_ms
 
 MAX_HEAD_BYTES = 16384  # of the request line and all headers
--- a/flaxstep/proxy/client_requests.py
+++ b/flaxstep/proxy/client_requests.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass
 
 from flaxstep.proxy.config import Config
+from flaxstep.proxy.forwarded_messages import ForwardedRequest
 from flaxstep.proxy.identifiers import stable_id
 from flaxstep.proxy.request_parser import RequestParser
-from flaxstep.proxy.server_connections import ForwardedRequest
 from flaxstep.routing.interface import Effect
 
 _TIMEOUT_PATTERN = re.compile(rb"(\d{1,9}(?:\.\d{1,6})?)([mu])")
--- /dev/null
+++ b/flaxstep/proxy/forwarded_messages.py
@@ -0,0 +1,27 @@
+"""What is forwarded between clients and job servers: requests and complete responses."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from flaxstep.proxy.request_bodies import Upload
+
+
+@dataclass(slots=True)
+class ForwardedRequest:
+    """A request as it is forwarded, without its Request-Timeout header: each attempt writes its own."""
+
+    head: bytes  # request line and header lines, without Content-Length and Transfer-Encoding
+    body: bytes
+    has_body: bool = False  # the body may be empty
+    upload: Upload | None = None  # streams the body, if it is not buffered as a whole
+    request_id: bytes = b""  # the client's Request-Id, for the log
+
+
+@dataclass(slots=True)
+class ServerResponse:
+    """A complete response of a server."""
+
+    status: int
+    body: bytes
+    content_type: bytes = b""
--- a/flaxstep/proxy/node.py
+++ b/flaxstep/proxy/node.py
@@ -22,13 +22,15 @@
 from flaxstep.proxy.client_listener import Listener
 from flaxstep.proxy.client_requests import ClientRequest
 from flaxstep.proxy.config import Address, Config
+from flaxstep.proxy.connection_pool import ServerPool
 from flaxstep.proxy.discovery import Discovery
 from flaxstep.proxy.event_log import log_event
+from flaxstep.proxy.forwarded_messages import ForwardedRequest, ServerResponse
 from flaxstep.proxy.identifiers import stable_id
 from flaxstep.proxy.member_list import Endpoint, MemberList, MemberListReader
 from flaxstep.proxy.metrics import Metrics, ServerMetrics
 from flaxstep.proxy.request_bodies import MAX_REQUEST_BODY_BYTES, BodyBudget
-from flaxstep.proxy.server_connections import Attempt, ForwardedRequest, ServerPool, ServerResponse
+from flaxstep.proxy.server_connections import Attempt
 from flaxstep.proxy.shared_state import OperatorState, SharedState
 from flaxstep.proxy.wall_clock import WallClock, now_ms
 from flaxstep.routing import Policy
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from flaxstep.proxy import client_connections, client_listener, server_connections
+from flaxstep.proxy import client_connections, client_listener, connection_pool, server_connections
 from flaxstep.proxy.connection_close import reset_connection
 from flaxstep.proxy.identifiers import stable_id
 from flaxstep.proxy.request_bodies import BUFFERED_BODY_BYTES, MIN_BODY_SHARE_BYTES, BodyBudget
@@ -587,8 +587,8 @@
 
 
 def test_response_that_stops_half_way_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(server_connections, "RESPONSE_READ_TIMEOUT_S", 0.2)
-    monkeypatch.setattr(server_connections, "IDLE_SWEEP_INTERVAL_S", 0.05)
+    monkeypatch.setattr(connection_pool, "RESPONSE_READ_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(connection_pool, "IDLE_SWEEP_INTERVAL_S", 0.05)
 
     async def test() -> None:
         async with run_node(await FakeServer(respond_with(RESPONSES["length"][:500_000])).start()) as fixture:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -19,6 +19,7 @@
     client_connections,
     client_listener,
     connection_close,
+    connection_pool,
     discovery,
     server_connections,
 )
@@ -431,7 +432,7 @@
 
 
 def test_cancelled_attempt_is_closed_before_next_is_sent(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(server_connections, "CONNECTION_REUSE_DELAY_MS", 0.0)
+    monkeypatch.setattr(connection_pool, "CONNECTION_REUSE_DELAY_MS", 0.0)
     received_at_start: list[bytes] = []
 
     async def test() -> None:
@@ -599,7 +600,7 @@
 def test_unread_input_on_idle_connection_prevents_reuse(
     cause_event: Callable[[socket.socket], None], monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(server_connections, "CONNECTION_REUSE_DELAY_MS", 0.0)
+    monkeypatch.setattr(connection_pool, "CONNECTION_REUSE_DELAY_MS", 0.0)
 
     async def test() -> None:
         server = RawPeer()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,10 +13,18 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from flaxstep.proxy import client_connections, client_listener, discovery, node, server_connections
+from flaxstep.proxy import (
+    client_connections,
+    client_listener,
+    connection_pool,
+    discovery,
+    node,
+    server_connections,
+)
 from flaxstep.proxy.identifiers import stable_id
+from flaxstep.proxy.idle_limit import IdleLimit
 from flaxstep.proxy.node import CLIENT_TIMEOUT_MARGIN_MS
-from flaxstep.proxy.server_connections import IdleLimit, ServerConnection
+from flaxstep.proxy.server_connections import ServerConnection
 from flaxstep.proxy.wall_clock import now_ms
 from flaxstep.routing.interface import (
     Effect,
@@ -717,7 +725,7 @@
 
 def test_idle_limit_shrinks_when_servers_close_earlier(monkeypatch: pytest.MonkeyPatch) -> None:
     clock = [1000.0]
-    for module in (client_connections, node, server_connections):
+    for module in (client_connections, connection_pool, node, server_connections):
         monkeypatch.setattr(module, "now_ms", lambda: clock[0])
     last: dict[asyncio.StreamWriter, float] = {}
 
@@ -732,7 +740,7 @@
             client, answers = await fixture.connect_client(), []
             for _ in range(8):
                 for _ in range(8):
-                    clock[0] += server_connections.CONNECTION_REUSE_DELAY_MS
+                    clock[0] += connection_pool.CONNECTION_REUSE_DELAY_MS
                     answers.append((await client.send_request(build_request("pay")))[0])
                 clock[0] += 500
             assert answers.count(502) == 3
