--- a/flaxstep/proxy/node.py
+++ b/flaxstep/proxy/node.py
@@ -23,22 +23,22 @@
 from flaxstep.proxy.client_requests import ClientRequest
 from flaxstep.proxy.config import Address, Config
 from flaxstep.proxy.connection_pool import ServerPool
+from flaxstep.proxy.cordons import Cordons
 from flaxstep.proxy.discovery import Discovery
+from flaxstep.proxy.endpoint_updates import EndpointUpdates
 from flaxstep.proxy.event_log import log_event
 from flaxstep.proxy.forwarded_messages import ForwardedRequest, ServerResponse
 from flaxstep.proxy.identifiers import stable_id
-from flaxstep.proxy.member_list import Endpoint, MemberList, MemberListReader
+from flaxstep.proxy.member_list import MemberListReader
 from flaxstep.proxy.metrics import Metrics, ServerMetrics
 from flaxstep.proxy.request_bodies import MAX_REQUEST_BODY_BYTES, BodyBudget
 from flaxstep.proxy.server_connections import Attempt
-from flaxstep.proxy.shared_state import OperatorState, SharedState
 from flaxstep.proxy.wall_clock import WallClock, now_ms
 from flaxstep.routing import Policy
 from flaxstep.routing.interface import (
     Action,
     Began,
     Cancel,
-    Cordon,
     DiscoveryReach,
     Event,
     Fail,
@@ -51,11 +51,8 @@
     Request,
     Result,
     Send,
-    ServerList,
-    State,
     Subscribe,
     Timer,
-    Uncordon,
     Uploaded,
     Wake,
     Withdrawn,
@@ -77,7 +74,6 @@
 MAX_LISTEN_RETRY_S = 8.0  # from the start: the node has to be ready within 10 s
 LISTEN_RETRY_DELAY_S = 0.1
 RESOURCE_SHORTAGE_ERRNOS = frozenset({errno.ENOBUFS, errno.ENOMEM, errno.EMFILE, errno.ENFILE, errno.EAGAIN})
-MAX_LOGGED_ENDPOINTS = 4  # in the log line about a list
 DRAIN_POLL_S = 0.02
 
 log = logging.getLogger("flaxstep.proxy")
@@ -123,7 +119,6 @@
         self.client_listener: asyncio.Server | None = None
         self.admin_listener: asyncio.Server | None = None
         self.discovery_task: asyncio.Task[None] | None = None
-        self.listed_servers: set[int] = set()  # by id
         self.list_confirmed = asyncio.Event()  # discovery has confirmed the list once
         self.started_at = loop.time()
         clients, servers = connection_limits(config.sockets)
@@ -140,7 +135,12 @@
             self.body_budget,
         )
         self.listener = Listener(loop, config, self, clients, self.body_budget)
-        self.list_reader = MemberListReader(config.zones, config.kinds, self.clock, stable_id)
+        self.endpoint_updates = EndpointUpdates(
+            MemberListReader(config.zones, config.kinds, self.clock, stable_id),
+            self.pool,
+            self.server_metrics,
+            self.dispatch_event,
+        )
         self.discovery = Discovery(
             config.discovery,
             self.on_list,
@@ -159,7 +159,8 @@
             Log: self.log_text,
             Subscribe: self.ignore_subscribe,
         }
-        self.shared_state = SharedState(config.shared_folder, config.name, self.on_operator_state_change)
+        self.cordons = Cordons(config, self.pool, self.endpoint_updates.listed, self.dispatch_event)
+        self.shared_state = self.cordons.shared_state
         if config.admin is not None:
             self.shared_state.start()  # before the list: nothing may be sent to cordoned servers
         self.dispatch_event(DiscoveryReach(Reach.STARTED))
@@ -376,50 +377,10 @@
         return self.apply_list(raw, ListKind.FULL if full_list else None)
 
     def apply_list(self, raw: Any, kind: ListKind | None) -> int | None:
-        """Apply a list to the pool, the policy and the metrics; see on_list."""
-        members = self.list_reader.read(raw, kind)
-        endpoints = members.endpoints
-        # New servers are added to the pool first: the policy may send to them while it handles the list.
-        for endpoint in endpoints:
-            if endpoint.entry.state is State.READY and endpoint.entry.id not in self.pool.servers:
-                self.update_endpoint(endpoint)
-        # The policy gets the list before the pool removes or changes servers: that ends attempts, and the
-        # policy must not retry them on servers that this list removes.
-        self.dispatch_event(
-            ServerList(members.kind, members.version or 0, [each.entry for each in endpoints])
-        )
-        if members.kind is not ListKind.DELTA:
-            listed_ids = {endpoint.entry.id for endpoint in endpoints}
-            for server_id in self.listed_servers - listed_ids:
-                removed = self.pool.servers[server_id]
-                self.pool.update(server_id, removed.address, State.GONE, removed.started)
-                self.server_metrics.remove_server(server_id)
-            self.listed_servers &= listed_ids
-        for endpoint in endpoints:
-            self.update_endpoint(endpoint)
-            if endpoint.entry.state is State.GONE:
-                self.listed_servers.discard(endpoint.entry.id)
-                self.server_metrics.remove_server(endpoint.entry.id)
-            else:
-                self.listed_servers.add(endpoint.entry.id)
-                self.server_metrics.add_server(endpoint.entry.id, endpoint.name, endpoint.started_at)
-        if endpoints or members.kind is not ListKind.DELTA:
-            self.log_list(members)
+        """Apply a list; see on_list."""
+        version = self.endpoint_updates.apply(raw, kind)
         self.healthy = True
-        return members.version
-
-    def update_endpoint(self, endpoint: Endpoint) -> None:
-        """Update one endpoint in the pool."""
-        entry = endpoint.entry
-        self.pool.update(entry.id, endpoint.address, entry.state, entry.started)
-
-    def log_list(self, members: MemberList) -> None:
-        logged = members.endpoints[:MAX_LOGGED_ENDPOINTS]
-        changes = ", ".join(f"{each.name} {each.entry.state.name.lower()}" for each in logged)
-        unlogged = len(members.endpoints) - len(logged)
-        more = f" and {unlogged} more" if unlogged else ""
-        version = "without a version" if members.version is None else members.version
-        log.info("list %s, %s: %s%s", version, members.kind.name.lower(), changes, more)
+        return version
 
     def on_reach(self, reach: Reach, since: float) -> None:
         """Pass on the state of the connection to discovery: the policy decides how long the list is valid."""
@@ -446,8 +407,8 @@
             b"/admin/health": (b"GET", self.report_health),
             b"/admin/stats": (b"GET", self.report_stats),
             b"/admin/servers": (b"GET", self.report_servers),
-            b"/admin/cordon": (b"POST", self.cordon),
-            b"/admin/uncordon": (b"POST", self.uncordon),
+            b"/admin/cordon": (b"POST", self.cordons.cordon),
+            b"/admin/uncordon": (b"POST", self.cordons.uncordon),
             b"/admin/quiesce": (b"POST", self.quiesce),
             b"/admin/resume": (b"POST", self.resume),
         }
@@ -481,11 +442,11 @@
         return 503, "quiesced" if self.quiesced else "starting"
 
     def report_stats(self, _: bytes) -> Reply:
-        avoided = self.listed_servers & self.policy.find_avoided_servers(now_ms())
+        avoided = self.endpoint_updates.listed & self.policy.find_avoided_servers(now_ms())
         gauges = {
             "outstanding": sum(not pending.uploading for pending in self.pending_requests.values())
             + self.listener.count_queued_requests(),
-            "discovered": len(self.listed_servers),
+            "discovered": len(self.endpoint_updates.listed),
             "ejected": len(avoided),
         }
         return 200, self.metrics.to_statsd(gauges)
@@ -495,74 +456,6 @@
         self.shared_state.refresh()  # the call may have gone to the other process
         return 200, self.server_metrics.report(outstanding, self.shared_state.state.cordoned)
 
-    def cordon(self, body: bytes) -> Reply:
-        """Send nothing new to the server that the body names, until it is uncordoned."""
-        return self.change_operator_state(
-            body, "cordoned", lambda state, name: state.with_cordoned(name), self.shared_state.cordon_unsaved
-        )
-
-    def uncordon(self, body: bytes) -> Reply:
-        """Use the server again. It counts as restarted now, so it starts cold."""
-        now = now_ms()
-
-        def edit(state: OperatorState, name: str) -> OperatorState:
-            if name not in state.cordoned:
-                return state
-            warm = now - self.config.settings.ramp_time
-            forget = {
-                other
-                for other, at in state.returned.items()
-                if self.shared_state.return_time(other, at) <= warm
-            }
-            return state.with_returned(name, self.shared_state.record_return(name, now), forget)
-
-        return self.change_operator_state(body, "uncordoned", edit)
-
-    def change_operator_state(
-        self,
-        body: bytes,
-        result: str,
-        edit: Callable[[OperatorState, str], OperatorState],
-        on_save_failure: Callable[[str], None] | None = None,
-    ) -> Reply:
-        """Apply a call of an operator; `on_save_failure` gets the server's name if it can't be saved."""
-        try:
-            name = body.decode().strip()
-        except UnicodeDecodeError:
-            return 400, "the body is not UTF-8 text"
-        if not name:
-            return 400, "the body must be the id of a server"
-        self.shared_state.refresh()  # the other process may have changed it
-        # A server that restarts may be missing from the list, but can still be uncordoned.
-        if (
-            stable_id(name.encode()) not in self.listed_servers
-            and name not in self.shared_state.state.cordoned
-        ):
-            return 404, f"no server {name} is listed"
-        try:
-            self.shared_state.apply_change(lambda state: edit(state, name))
-        except OSError as error:
-            log.warning("server %s can't be saved as %s: %s", name, result, error)
-            if on_save_failure is None:
-                return 503, f"not saved, so not changed: {error}"
-            on_save_failure(name)
-            return 503, f"cordoned in this process, not saved yet: {error}"
-        return 200, f"{name} {result}"
-
-    def on_operator_state_change(self, old: OperatorState, new: OperatorState) -> None:
-        """Apply the changes of operators, made at this process or at another one of this node."""
-        for name in sorted(new.cordoned - old.cordoned):
-            server_id = stable_id(name.encode())
-            log.info("%s is out", name)
-            self.dispatch_event(Cordon(server_id))
-            self.pool.cordon(server_id)
-        for name, at in sorted(new.returned.items()):
-            if old.returned.get(name) != at:
-                log.info("%s is back", name)
-                self.dispatch_event(
-                    Uncordon(stable_id(name.encode()), self.shared_state.return_time(name, at))
-                )
-
     def poll_shared_state(self) -> None:
         """Read the shared state at regular intervals, and adjust the limits when a process comes or goes."""
         self.loop.call_later(SHARED_STATE_POLL_S, self.poll_shared_state)
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -481,7 +481,7 @@
             assert (await client.send_request(head))[0] == 100
             assert (await client.send_request(body))[0] == 200
             late = await fixture.connect_client()
-            fixture.node.cordon(b"s-1")  # no server is left
+            fixture.node.cordons.cordon(b"s-1")  # no server is left
             status, headers, _ = await late.send_request(
                 upload_request(LARGE_BODY, Expect="100-continue")[: -len(LARGE_BODY)]
             )
--- a/tests/test_cordon.py
+++ b/tests/test_cordon.py
@@ -151,7 +151,7 @@
                 send(action)
                 if not out:
                     out.append("s-1" if action.server == stable_id(b"s-1") else "s-2")
-                    asyncio.get_running_loop().call_soon(stand.node.cordon, out[0].encode())
+                    asyncio.get_running_loop().call_soon(stand.node.cordons.cordon, out[0].encode())
 
             stand.node.action_handlers[Send] = cordoned_at_once
             assert (await (await stand.connect_client()).send_request(build_request("pay")))[0] == 200
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -698,7 +698,7 @@
             for start in range(0, len(data), part_size or len(data)):
                 agent.watch_lines.put_nowait(data[start : start + part_size] if part_size else data)
             await wait_for_list(fixture, 3)
-            assert fixture.node.listed_servers == {stable_id(b"s-%d" % i) for i in (1, 2, 3)}
+            assert fixture.node.endpoint_updates.listed == {stable_id(b"s-%d" % i) for i in (1, 2, 3)}
             agent.watch_lines.put_nowait(b'  {"generation": 4, "reset": false, "instances": []}\n')
             await wait_for_list(fixture, 4)
             assert calls.empty()  # no list was requested again
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -600,7 +600,8 @@
             for _ in range(3):
                 call = await asyncio.wait_for(fixture.discovery.request_targets.get(), TIMEOUT_S)
                 assert call == WATCH_TARGET
-            assert fixture.node.healthy and not fixture.node.pool.servers.keys() - fixture.node.listed_servers
+            listed = fixture.node.endpoint_updates.listed
+            assert fixture.node.healthy and not fixture.node.pool.servers.keys() - listed
 
     run(test())
 
