--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -250,6 +250,12 @@
             self.connections.discard(writer)
             writer.close()
 
+    def end(self) -> None:
+        """The process ends: connections are reset, new ones refused."""
+        self.server.close()
+        for writer in list(self.connections):
+            reset(writer)
+
     def good_answer(self, request_id: str) -> bytes:
         return response("200 OK", json.dumps({"id": request_id, "server": self.name}).encode())
 
