Give one connection one read and one request in a turn of the loop

Cause: libuv repeats a read that fills its buffer up to 32 times, and serve_next_requests served all that was queued: up to 7,000 requests of one peer before any other connection was looked at. Change: a read that fills the buffer ends the connection's turn (clients and job servers, read_turns.py), queued requests are served one in a turn, and a read outside of bodies takes 1 KiB, not 4.

--- a/flaxstep/proxy/client_connections.py
+++ b/flaxstep/proxy/client_connections.py
@@ -24,6 +24,7 @@
 from flaxstep.proxy.event_log import log_event
 from flaxstep.proxy.header_limit import MAX_HEADER_BYTES, HeadersTooLong
 from flaxstep.proxy.incoming_request import IncomingRequest
+from flaxstep.proxy.read_turns import TurnLimitedProtocol
 from flaxstep.proxy.request_bodies import (
     BUFFERED_BODY_BYTES,
     MIN_BODY_SHARE_BYTES,
@@ -33,7 +34,7 @@
 from flaxstep.proxy.request_parser import RequestParser, UnsupportedConnect
 
 MAX_PIPELINED_REQUESTS = 16  # queued on one connection; with more, reading from it pauses
-HEAD_READ_BYTES = 4096  # in one read outside of bodies; all requests in it are queued, however many
+HEAD_READ_BYTES = 1024  # in one read outside of bodies; all requests in it are queued, however many
 # Of responses that the client does not take; with more, its next requests wait. One response may exceed this.
 MAX_UNSENT_BYTES = 4096
 REQUEST_TIMEOUT_S = 2.6  # for a client to send one request; some clients take 2 s for the head alone
@@ -104,11 +105,9 @@
         """Neither evict nor time out this connection, which is about to close."""
 
 
-class ClientConnection(asyncio.BufferedProtocol):
+class ClientConnection(TurnLimitedProtocol):
     """One connection of a client. Pipelined requests are served one after the other."""
 
-    transport: asyncio.Transport
-
     def __init__(self, listener: ConnectionSupervisor) -> None:
         self.listener = listener
         self.parser = RequestParser(self)
@@ -116,6 +115,7 @@
         self.queued_requests: deque[tuple[ClientRequest | Rejection | HealthCheck, bool]] = deque()
         self.request_id = 0  # the node's number of the request that is being served; 0: none
         self.serving_request = self.serving_queue = False
+        self.next_turn_scheduled = False  # in which the next queued request is served
         self.keep_alive = True  # after the current response
         self.input_finished = False  # no further request is read, or the last response has been written
         self.output_finished = False  # no further response can be sent
@@ -133,6 +133,7 @@
         self.serving_upload = False  # the request that is being served still uploads its body
         self.response_chunked = False  # the current response is sent with chunked coding
         self.response_streaming = False  # a part of the current response has been sent
+        self.read_size = 0  # of the buffer for the read that comes next
         self.bytes_since_request = 0  # received since the end of the last complete request
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -194,9 +195,13 @@
     def get_buffer(self, sizehint: int) -> memoryview:
         receiving_body = self.receiving_request and self.incoming.headers.complete
         max_bytes = BUFFERED_BODY_BYTES if receiving_body or self.input_finished else HEAD_READ_BYTES
-        return self.listener.body_budget.read_buffer(max_bytes)
+        buffer = self.listener.body_budget.read_buffer(max_bytes)
+        self.read_size = len(buffer)
+        return buffer
 
     def buffer_updated(self, nbytes: int) -> None:
+        if nbytes == self.read_size:
+            self.end_turn(self.listener.loop)
         if self.output_finished or (self.input_finished and not self.receiving_request):
             return
         self.bytes_since_request += nbytes
@@ -234,16 +239,17 @@
         bodies = sum(len(item.message.body) for item, _ in queued if isinstance(item, ClientRequest))
         return len(queued) > MAX_PIPELINED_REQUESTS or bodies > self.listener.body_budget.share_bytes
 
+    @property
+    def reading_blocked(self) -> bool:
+        return self.paused_for_queue or self.paused_for_upload
+
     def update_reading(self) -> None:
         """Pause or resume reading from the client."""
-        if self.transport.is_closing():
-            return
-        if self.paused_for_queue or self.paused_for_upload:
+        super().update_reading()
+        if self.reading_blocked and not self.transport.is_closing():
             self.listener.read_paused[self.descriptor] = self
-            self.transport.pause_reading()
         else:
             self.listener.read_paused.pop(self.descriptor, None)
-            self.transport.resume_reading()
 
     def pause_upload(self, pause: bool) -> None:
         """Stop reading the body while no server accepts more of it, or read on."""
@@ -438,25 +444,16 @@
         return request
 
     def serve_next_requests(self) -> None:
-        """Serve the queued requests in order, as far as responses can be sent at once."""
-        if self.serving_queue:
-            # Called on a response that was sent in the loop below. The loop goes on: calls for each of many
-            # such responses would nest too deep.
-            return
+        """Serve the next queued request, and those behind it one in each turn of the loop."""
+        if self.serving_queue or self.next_turn_scheduled:
+            return  # called on a response that was sent at once, or while other connections have their turn
         self.serving_queue = True
-        handler = self.listener.handler
-        while self.can_serve_next():
-            item, self.keep_alive = self.queued_requests.popleft()
-            self.serving_request = True
-            if isinstance(item, ClientRequest):
-                self.serve_request(item)
-            elif isinstance(item, Rejection):
-                self.reject(item)
-            elif handler.ready:
-                self.send_response(200, b"ok\n", b"text/plain")
-            else:
-                self.send_response(503)
+        if self.can_serve_next():
+            self.serve_next_request()
         self.serving_queue = False
+        if self.can_serve_next():
+            self.next_turn_scheduled = True
+            self.listener.loop.call_soon(self.serve_in_next_turn)
         if self.writing_paused and self.queued_requests and not self.serving_request:
             self.listener.add_slow_reader(self)
         if (
@@ -469,6 +466,23 @@
         ):
             self.send_continue()  # all earlier requests have their responses
 
+    def serve_in_next_turn(self) -> None:
+        self.next_turn_scheduled = False
+        self.serve_next_requests()
+
+    def serve_next_request(self) -> None:
+        """Serve the first queued request."""
+        item, self.keep_alive = self.queued_requests.popleft()
+        self.serving_request = True
+        if isinstance(item, ClientRequest):
+            self.serve_request(item)
+        elif isinstance(item, Rejection):
+            self.reject(item)
+        elif self.listener.handler.ready:
+            self.send_response(200, b"ok\n", b"text/plain")
+        else:
+            self.send_response(503)
+
     def can_serve_next(self) -> bool:
         """Whether a request waits, and its response can be sent.
 
--- a/flaxstep/proxy/server_connections.py
+++ b/flaxstep/proxy/server_connections.py
@@ -16,6 +16,7 @@
 from flaxstep.proxy.header_limit import HeaderLimit, HeadersTooLong
 from flaxstep.proxy.idle_limit import IdleLimit
 from flaxstep.proxy.metrics import Metrics
+from flaxstep.proxy.read_turns import TurnLimitedProtocol
 from flaxstep.proxy.request_bodies import BUFFERED_BODY_BYTES, MIN_BODY_SHARE_BYTES, BodyBudget
 from flaxstep.proxy.wall_clock import now_ms
 from flaxstep.routing.interface import Result, State
@@ -92,11 +93,9 @@
         """A chunk of the body of a streamed response was received."""
 
 
-class ServerConnection(asyncio.BufferedProtocol):
+class ServerConnection(TurnLimitedProtocol):
     """One connection to a server. It serves one attempt at a time."""
 
-    transport: asyncio.Transport
-
     def __init__(self, pool: ConnectionPool, server: EndpointConnections) -> None:
         self.pool = pool
         self.server = server
@@ -118,6 +117,7 @@
         self.bytes_received = 0  # of the response
         self.last_read_ms = 0.0
         self.reading_paused = False  # while the client reads nothing
+        self.read_size = 0  # of the buffer for the read that comes next
         self.keep_alive = False
         self.unexpected_bytes = False  # received after the end of the response
         self.unsized_body_timer: asyncio.TimerHandle | None = None
@@ -260,10 +260,18 @@
 
     # Receiving the response.
 
+    @property
+    def reading_blocked(self) -> bool:
+        return self.reading_paused
+
     def get_buffer(self, sizehint: int) -> memoryview:
-        return self.pool.body_budget.read_buffer()
+        buffer = self.pool.body_budget.read_buffer()
+        self.read_size = len(buffer)
+        return buffer
 
     def buffer_updated(self, nbytes: int) -> None:
+        if nbytes == self.read_size:
+            self.end_turn(self.pool.loop)
         if self.attempt is None:  # with no request sent, these bytes could be taken for the next response
             self.close("bytes_unasked")
             return
@@ -323,10 +331,7 @@
         if self.transport.is_closing():
             return
         log_event("upstream_read_paused" if paused else "upstream_read_resumed", upstream=self.descriptor)
-        if paused:
-            self.transport.pause_reading()
-        else:
-            self.transport.resume_reading()
+        self.update_reading()
 
     def begin_streaming(self) -> None:
         """Stream the response to the client from now on, starting with what is buffered."""
