Send no request whose id has begun, at either process of an upgrade

Cause: nothing remembered an id once its request was over. The decisions look there before an attempt and write there with the first; an id that comes again is refused where a repeat is harmless, else failed (`already_begun`). The processes of a node map one another's tables (begun_request_files.py), and each writes before it reads, so no id slips between. Tests that sent the same id again on purpose of brevity give each request its own now; what they check is the same.

--- a/flaxstep/proxy/node.py
+++ b/flaxstep/proxy/node.py
@@ -18,6 +18,7 @@
 from typing import Any
 
 from flaxstep.proxy.admin import AdminServer, Reply
+from flaxstep.proxy.begun_request_files import BegunRequestFiles
 from flaxstep.proxy.client_connections import MIN_UPLOAD_BYTES_PER_S, ClientConnection
 from flaxstep.proxy.client_listener import Listener
 from flaxstep.proxy.client_requests import ClientRequest
@@ -108,7 +109,8 @@
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
         self.config = config
         self.loop = loop
-        self.policy = Policy(config.settings, config.seed)
+        self.begun_request_files = BegunRequestFiles(config.shared_folder, config.name, config.memory_mb)
+        self.policy = Policy(config.settings, config.seed, self.begun_request_files.requests)
         self.clock = WallClock()
         self.pending_requests: dict[int, PendingRequest] = {}
         self.last_id = 0
@@ -285,6 +287,7 @@
                 request.work_hint_ms,
                 request.is_client_retry,
                 uploading,
+                stable_id(request.message.request_id),
             )
         )
 
@@ -575,3 +578,4 @@
         if self.discovery_task is not None:
             self.discovery_task.cancel()
         self.shared_state.close()
+        self.begun_request_files.close()
--- a/flaxstep/proxy/shared_state.py
+++ b/flaxstep/proxy/shared_state.py
@@ -24,6 +24,11 @@
 log = logging.getLogger("flaxstep.proxy")
 
 
+def shared_file_prefix(name: str) -> str:
+    """How the names of a node's shared files begin: processes of earlier versions read and write them."""
+    return "badgercart-" + name.encode().hex()
+
+
 def parse_limited_json(data: bytes) -> Any:
     """Decode JSON of at most MAX_FILE_BYTES; ValueError otherwise."""
     if len(data) > MAX_FILE_BYTES:
@@ -103,8 +108,7 @@
         self.others_running = False  # another process of this node is running
         self.last_file_stamp: tuple[int, int] | None = None  # of the state file when last read
         self.folder = folder
-        # The file names keep this prefix: processes of earlier versions read and write them.
-        prefix = "badgercart-" + name.encode().hex()
+        prefix = shared_file_prefix(name)
         self.prefix = prefix + "."
         self.presence_descriptor: int | None = None  # of the locked presence file
         self.fully_read = folder is None  # the last refresh could read everything
--- a/flaxstep/routing/interface.py
+++ b/flaxstep/routing/interface.py
@@ -201,6 +201,7 @@
     repeat: bool = False  # marked by the client as its retry
     # The body is still being received: `due` is an estimate, and a server that gets it has no work yet.
     uploading: bool = False
+    client_id: int = 0  # a hash of the id that the client gave it, the same at every process; 0: none
 
 
 @dataclass(slots=True)
@@ -310,6 +311,7 @@
     ATTEMPTS = "attempts"  # it has used all attempts allowed
     NO_ENDPOINT = "no_endpoint"  # no server may receive it now
     STALE_LIST = "stale_list"  # the node may count as notified of a change unknown to it
+    ALREADY_BEGUN = "already_begun"  # a request with its id has been sent to a server before
     NOT_REPEATED = "not_repeated"  # a further attempt would add to the overload, or its body is gone
 
 
--- a/flaxstep/routing/policy.py
+++ b/flaxstep/routing/policy.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 
+from flaxstep.routing.begun_requests import BegunRequests
 from flaxstep.routing.hash_ring import HashRing, mix_bits
 from flaxstep.routing.interface import (
     MAY_RUN_ON,
@@ -191,10 +192,14 @@
 
 
 class Policy:
-    """The routing decisions of one node. Instances share nothing; random numbers come from the seed."""
+    """The routing decisions of one node. Random numbers come from the seed.
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    Instances share nothing but `begun_requests`, if they are given them: the ids that must not begin again.
+    """
+
+    def __init__(self, settings: Settings, seed: int, begun_requests: BegunRequests | None = None) -> None:
         self.settings, self.random = settings, random.Random(seed)
+        self.begun_requests = begun_requests
         self.endpoints: dict[int, Endpoint] = {}
         self.cordoned: set[int] = set()  # by an operator, whether listed or not
         self.uncordoned_at: dict[int, float] = {}  # for servers that may still be cold after it
@@ -296,6 +301,9 @@
         settings, group, tenant = self.settings, request.cls, request.tenant
         if not 0 <= group < len(settings.classes):
             raise LookupError(f"a request names class {group}, which the settings do not have")
+        if self.begun_requests is not None and request.client_id in self.begun_requests:
+            self.reject_begun_request(request)
+            return
         # A leaky bucket of 1 s per tenant. This node's traffic is taken as typical of all nodes.
         if settings.quotas:
             if not 0 <= tenant < len(settings.quotas):
@@ -564,6 +572,10 @@
         if (endpoint := self.choose_endpoint(pending)) is None:
             self.reject_request(pending, Cause.NO_ENDPOINT)
             return
+        if not self.begin_request(pending):
+            self.reject_begun_request(request)
+            self.remove_request(request.id)
+            return
         if endpoint.entry.id in self.untried_after_uncordon:
             self.untried_after_uncordon.remove(endpoint.entry.id)
         send_within_ms = min(self.compute_window_left(pending), self.lease.compute_send_window(self.now))
@@ -581,6 +593,13 @@
         self.recent_attempts_total += 1
         self.actions.append(Send(request.id, endpoint.entry.id, deadline - self.now, send_within_ms))
 
+    def begin_request(self, pending: PendingRequest) -> bool:
+        """Note that a request is sent now; False if one with its id has begun at another process."""
+        client_id = pending.request.client_id
+        if self.begun_requests is None or not client_id or pending.attempts_sent:
+            return True
+        return self.begun_requests.begin(client_id)
+
     def add_open_attempt(self, endpoint: Endpoint, pending: PendingRequest, attempt_number: int) -> None:
         """Count an attempt as work of its server from now on."""
         overdue_at = self.now + STALLED_AFTER_MULTIPLE * self.usual_response_ms[pending.request.cls]
@@ -968,17 +987,25 @@
 
     def reject_request(self, pending: PendingRequest, cause: Cause) -> None:
         """Give the final response without an open attempt: Refuse if a repeat does no harm, else Fail."""
-        cls = self.settings.classes[pending.request.cls]
-        repeat_is_harmless = cls.effect is Effect.SAFE or (
-            cls.effect is Effect.KEYED and cls.group is Group.ALL
-        )
         retry_after_ms, request_id = self.choose_retry_after(pending.score), pending.request.id
-        can_refuse = repeat_is_harmless or not pending.maybe_ran
+        can_refuse = not pending.maybe_ran or self.repeat_is_harmless(pending.request)
         self.actions.append(
             Refuse(request_id, retry_after_ms, cause) if can_refuse else Fail(request_id, cause)
         )
         self.remove_request(request_id)
 
+    def reject_begun_request(self, request: Request) -> None:
+        """Give the final response to a request whose id has begun before, without sending it."""
+        refused = self.repeat_is_harmless(request)
+        self.actions.append(
+            Refuse(request.id, 0.0, Cause.ALREADY_BEGUN) if refused else Fail(request.id, Cause.ALREADY_BEGUN)
+        )
+
+    def repeat_is_harmless(self, request: Request) -> bool:
+        """Whether the client may send a request again although it may have run."""
+        cls = self.settings.classes[request.cls]
+        return cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL)
+
     def remove_request(self, request_id: int) -> None:
         """Forget a finished request, cancel its open attempts and release its key's queue."""
         pending = self.pending_requests.pop(request_id, None)
--- a/tests/net.py
+++ b/tests/net.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import re
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from typing import Any
@@ -211,6 +212,14 @@
     return f"{method} /{cls}/{key} HTTP/1.1\r\n{head}\r\n".encode() + body
 
 
+def repeat_requests(data: bytes, count: int) -> bytes:
+    """These requests several times, each with an id of its own: a node sends no id twice."""
+    return b"".join(
+        re.sub(rb"Request-Id: \w+", lambda _: b"Request-Id: %016x" % next(_request_numbers), data)
+        for _ in range(count)
+    )
+
+
 def make_config(discovery_port: int, aim_ms: float = 5000.0, max_attempts: int = 1, **changes: Any) -> Config:
     classes = tuple(
         RequestClass(aim=aim_ms, deadline=9000.0, worth=1.0, effect=effect, window=9000.0)
