Begin nothing for a client that has closed its connection, also behind unread bytes

Cause: a close is reported once all bytes before it are read, and the look at paused connections came only ten times a second and only there. Change: before an attempt is written, and before the last byte of a body is, the kernel is asked for the client's close (POLLRDHUP), and each 0.1 s for all clients whose request still arrives. Parts of a body are collected per read and written at its end, so that the last byte is known as such. The test of crossings waits for the first request to begin before its client closes: now nothing that lies behind a close begins.

--- a/flaxstep/proxy/client_connections.py
+++ b/flaxstep/proxy/client_connections.py
@@ -19,6 +19,7 @@
     STATUS_LINES,
     WriteProgress,
     close_after_response,
+    closed_by_peer,
     reset_connection,
 )
 from flaxstep.proxy.event_log import log_event
@@ -151,10 +152,15 @@
         """Treat a half-close as the client's departure: it waits for no response. The transport closes."""
         self.abandon()
 
-    def abandon_paused(self) -> None:
-        """Abort a connection that the client has closed while reading was paused."""
-        self.abandon()
-        self.transport.abort()
+    def detect_departure(self) -> bool:
+        """Whether the client has closed the connection; it is aborted then, with what it sent before.
+
+        The transport reports a close only once all bytes before it are read.
+        """
+        if not self.transport.is_closing() and closed_by_peer(self.descriptor):
+            self.abandon()
+            self.transport.abort()
+        return self.transport.is_closing()
 
     def abandon(self) -> None:
         """Stop reading and writing, and withdraw the request that is being served."""
@@ -222,6 +228,8 @@
         else:
             if self.bytes_since_request > MAX_HEADER_BYTES and not self.incoming.headers.complete:
                 self.stop_reading(BadRequest(431))
+        if self.upload is not None:
+            self.upload.flush()
         if not self.paused_for_queue and self.queue_is_full():
             self.paused_for_queue = True
             self.update_reading()
@@ -424,6 +432,9 @@
 
     def finish_upload(self, upload: Upload) -> None:
         """Forward the end of a body, or finish with the connection if the response is already sent."""
+        if self.detect_departure():
+            upload.abort()
+            return
         upload.finish()
         self.pause_upload(False)
         if upload.response_sent:
@@ -498,6 +509,9 @@
 
     def serve_request(self, request: ClientRequest) -> None:
         """Pass a request to the handler, and ask for its body if the client waits for that."""
+        if self.detect_departure():
+            return
+        request.message.source = self
         upload = request.message.upload
         self.serving_upload = upload is not None and not upload.complete
         self.listener.handler.accept_request(self, request)
--- a/flaxstep/proxy/client_listener.py
+++ b/flaxstep/proxy/client_listener.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import select
 import socket
 from collections import OrderedDict
 from typing import Any
@@ -208,17 +207,16 @@
         ):
             group.pop(client, None)
 
-    def detect_closed_while_paused(self) -> None:
-        """Poll for clients that have closed while reading is paused: the transport does not report those."""
-        if not self.read_paused:
-            return
-        poller = select.poll()
-        for descriptor in self.read_paused:
-            poller.register(descriptor, select.POLLRDHUP)
-        for descriptor, _ in poller.poll(0):
-            # Closing one connection may resume reading on another that was polled with it.
-            if (client := self.read_paused.get(descriptor)) is not None:
-                client.abandon_paused()
+    def detect_departures(self) -> None:
+        """Look for clients that have closed with bytes of them unread: the transport reports those later.
+
+        Their reading is paused, or a long request of theirs still arrives.
+        """
+        for client in [
+            *self.read_paused.values(),
+            *(client for client in self.connections if client.receiving_request),
+        ]:
+            client.detect_departure()
 
     def sweep_connections(self) -> None:
         """Close connections whose client has gone or sent no valid request in time.
@@ -226,7 +224,7 @@
         They must not hold descriptors.
         """
         self.loop.call_later(SWEEP_INTERVAL_S, self.sweep_connections)
-        self.detect_closed_while_paused()
+        self.detect_departures()
         self.reset_stalled_readers()
         oldest_allowed = self.loop.time() - FIRST_REQUEST_TIMEOUT_S
         for client, opened_at in [
--- a/flaxstep/proxy/connection_close.py
+++ b/flaxstep/proxy/connection_close.py
@@ -69,6 +69,13 @@
     return poller
 
 
+def closed_by_peer(descriptor: int) -> bool:
+    """Whether the other side has closed the connection, also if bytes that came before are unread."""
+    poller = select.poll()
+    poller.register(descriptor, select.POLLRDHUP)
+    return bool(poller.poll(0))
+
+
 def abort_immediately(transport: asyncio.Transport) -> None:
     """Close a connection within this call: the transport itself would close it in the loop's next turn."""
     connection_socket = transport.get_extra_info("socket")
--- a/flaxstep/proxy/connection_pool.py
+++ b/flaxstep/proxy/connection_pool.py
@@ -145,10 +145,18 @@
         if not fresh or closing or now >= attempt.send_before or connection.socket_poll.poll(0):
             connection.close("stale")
             return False
+        if self.client_has_left(attempt):
+            self.return_to_pool(connection, connection.idle_since)
+            return True
         connection.idle_before_ms = idle_before_ms
         connection.send_request(attempt)
         return True
 
+    def client_has_left(self, attempt: Attempt) -> bool:
+        """Whether nobody waits for the attempt any more, which ends it: it must not begin."""
+        source = attempt.message.source
+        return source is not None and source.detect_departure()
+
     def on_reuse_delay_over(self, attempt: Attempt) -> None:
         """The connection that is reserved for the attempt may be reused from now on."""
         connection, attempt.reserved_connection, attempt.connection_wait = (
@@ -188,6 +196,8 @@
         if changed or connection.transport.is_closing() or now_ms() >= attempt.send_before:
             connection.close("endpoint_changed_while_connecting" if changed else "came_up_late")
             self.finish_attempt(attempt, Result.UNREACHABLE)
+        elif self.client_has_left(attempt):
+            connection.close("client_left_while_connecting")
         else:
             # Counted here, not in connection_made: if connecting is cancelled just as it succeeds, uvloop
             # closes the connection without connection_lost, and it would count against the limit for ever.
--- a/flaxstep/proxy/forwarded_messages.py
+++ b/flaxstep/proxy/forwarded_messages.py
@@ -3,10 +3,18 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Protocol
 
 from flaxstep.proxy.request_bodies import Upload
 
 
+class RequestSource(Protocol):
+    """The connection of the client that has sent a request."""
+
+    def detect_departure(self) -> bool:
+        """Whether the client has closed the connection; its requests are withdrawn then."""
+
+
 @dataclass(slots=True)
 class ForwardedRequest:
     """A request as it is forwarded, without its Request-Timeout header: each attempt writes its own."""
@@ -15,7 +23,8 @@
     body: bytes
     has_body: bool = False  # the body may be empty
     upload: Upload | None = None  # streams the body, if it is not buffered as a whole
-    request_id: bytes = b""  # the client's Request-Id, for the log
+    request_id: bytes = b""  # the client's Request-Id
+    source: RequestSource | None = None  # set once it is served
 
 
 @dataclass(slots=True)
--- a/flaxstep/proxy/request_bodies.py
+++ b/flaxstep/proxy/request_bodies.py
@@ -62,8 +62,8 @@
         self.source = source
         self.body_budget = body_budget
         self.length = length  # Content-Length; None: chunked
-        self.buffered_parts = [first_part] if first_part else []
-        self.buffered_bytes = len(first_part)
+        # What has arrived and is not forwarded yet. One array, as chunks may be of one byte each.
+        self.buffered = bytearray(first_part)
         self.sink: UploadSink | None = None
         self.partly_sent = False
         # Whether the last byte has arrived, and whether what still arrives is discarded.
@@ -71,29 +71,30 @@
         self.response_sent = False  # the response was sent before the end of the body
 
     def feed(self, data: bytes) -> None:
-        """Forward or buffer a part of the body that has arrived."""
-        if self.discarding:
-            return
+        """Buffer a part of the body that has arrived, until `flush` or `finish`."""
+        if not self.discarding:
+            self.buffered += data
+
+    def flush(self) -> None:
+        """Forward what is buffered if a server is attached, else pause the source at the share of a body."""
         if self.sink is not None:
-            self.sink.write_chunk(data)
-            return
-        self.buffered_parts.append(data)
-        self.buffered_bytes += len(data)
-        if self.buffered_bytes >= self.body_budget.share_bytes:
+            if self.buffered:
+                data, self.buffered = bytes(self.buffered), bytearray()
+                self.sink.write_chunk(data)
+        elif len(self.buffered) >= self.body_budget.share_bytes and not self.complete:
             self.source.pause_upload(True)
 
     def finish(self) -> None:
-        """Note that the body has arrived completely."""
+        """Note that the body has arrived completely, and forward the end of it."""
         self.complete = True
+        self.flush()
         if self.sink is not None:
             self.sink.finish_body()
 
     def attach(self, sink: UploadSink) -> None:
         """Write what is buffered to a server's connection, and forward the rest to it."""
         self.sink, self.partly_sent = sink, True
-        parts, self.buffered_parts, self.buffered_bytes = self.buffered_parts, [], 0
-        for data in parts:
-            sink.write_chunk(data)
+        self.flush()
         if self.complete:
             sink.finish_body()
         elif not self.discarding:
@@ -106,12 +107,12 @@
     def discard_rest(self) -> None:
         """Read and discard what still arrives, because the response has been sent."""
         self.discarding, self.response_sent, self.sink = True, True, None
-        self.buffered_parts.clear()
+        self.buffered = bytearray()
         self.source.pause_upload(False)
 
     def abort(self) -> None:
         """Abort the attempt on the attached server, as the client sends no more of the body."""
         sink, self.discarding, self.sink = self.sink, True, None
-        self.buffered_parts.clear()
+        self.buffered = bytearray()
         if sink is not None and not self.complete:
             sink.abort_body()
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -30,6 +30,7 @@
     build_request,
     header_value,
     never_respond,
+    repeat_requests,
     respond_with,
     run_node,
 )
@@ -573,12 +574,12 @@
             senders = [await fixture.connect_client() for _ in range(60)]
             data = build_request("pay", body=bytes(60_000))
             for sender in senders:
-                sender.writer.write(data[:-1])
+                sender.writer.write(repeat_requests(data[:-1], 1))
 
             def buffered_bytes() -> int:
                 connections = fixture.node.listener.connections
                 whole = sum(len(connection.incoming.body) for connection in connections)
-                return whole + sum(c.upload.buffered_bytes for c in connections if c.upload is not None)
+                return whole + sum(len(c.upload.buffered) for c in connections if c.upload is not None)
 
             await wait_until(lambda: fixture.node.body_budget.body_count == 60)
             await asyncio.sleep(0.1)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -46,6 +46,7 @@
     NodeFixture,
     build_request,
     never_respond,
+    repeat_requests,
     respond_with,
     run_node,
 )
@@ -303,7 +304,7 @@
         server = await FakeServer(never_respond).start()
         async with run_node(server) as fixture:
             client = RawClient(fixture)
-            client.send(build_request() * (2 * client_connections.MAX_PIPELINED_REQUESTS))
+            client.send(repeat_requests(build_request(), 2 * client_connections.MAX_PIPELINED_REQUESTS))
             await asyncio.wait_for(server.requests.get(), TIMEOUT_S)
             (connection,) = fixture.node.listener.connections
             assert connection.paused_for_queue
@@ -385,6 +386,9 @@
         async with run_node(server) as fixture:
             client = RawClient(fixture)
             client.send(build_request() + build_request()[:40])
+            await asyncio.wait_for(
+                server.requests.get(), TIMEOUT_S
+            )  # what is sent before a close never begins
             client.close()
             await fixture.next_event(Withdrawn)
             await wait_until(lambda: not fixture.node.listener.connections)
