Tell a job server no more time than the client gives

Cause: until the last byte of a body the deadline is an upper bound, 1,024 s later, and the attempt told that.

--- a/flaxstep/proxy/forwarded_messages.py
+++ b/flaxstep/proxy/forwarded_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -24,6 +25,7 @@
     has_body: bool = False  # the body may be empty
     upload: Upload | None = None  # streams the body, if it is not buffered as a whole
     request_id: bytes = b""  # the client's Request-Id
+    timeout_ms: float = math.inf  # given by the client
     source: RequestSource | None = None  # set once it is served
 
 
--- a/flaxstep/proxy/node.py
+++ b/flaxstep/proxy/node.py
@@ -266,6 +266,7 @@
         )
         if uploading:
             deadline += 1000 * MAX_REQUEST_BODY_BYTES / MIN_UPLOAD_BYTES_PER_S
+        request.message.timeout_ms = request.timeout_ms
         self.pending_requests[request_id] = PendingRequest(
             client, request.message, request.cls, deadline, request.timeout_ms, uploading
         )
--- a/flaxstep/proxy/server_connections.py
+++ b/flaxstep/proxy/server_connections.py
@@ -203,7 +203,8 @@
         self.response_complete = self.head_received = False
         self.bytes_received = self.body_size = 0
         self.content_length, self.transfer_coding = None, b""
-        timeout_ms = max(1, int(attempt.deadline - now_ms()))
+        # Until the last byte of the body has come, the deadline is an upper bound.
+        timeout_ms = max(1, int(min(attempt.deadline - now_ms(), attempt.message.timeout_ms)))
         message, upload = attempt.message, attempt.message.upload
         if upload is None:
             length_header = b"Content-Length: %d\r\n" % len(message.body) if message.has_body else b""
