Let the client's time run while the node does not read its body

Cause: three waits had no deadline of the client's. A body whose rest lay unread moved the deadline on by 1,024 s; what had been sent extended the time to send the rest; and reading paused for a full queue went on only when nothing was served, so a body passed on waited for itself. Change: ArrivalClock tells since when a client may have written what is read later; the decisions get it as DueChanged while a body comes, and as the due time with its last byte. From one byte to the next 2.6 s, as for a whole head. A queue that is empty is read on, whatever is served. Upload.attach lets the source go on before it writes: after, it undid the pause of a server that takes nothing.

--- a/flaxstep/proxy/client_connections.py
+++ b/flaxstep/proxy/client_connections.py
@@ -8,6 +8,7 @@
 
 import httptools
 
+from flaxstep.proxy.arrival_clock import ArrivalClock
 from flaxstep.proxy.client_requests import (
     BadRequest,
     ClientRequest,
@@ -20,6 +21,7 @@
     WriteProgress,
     close_after_response,
     closed_by_peer,
+    poll_unread_input,
     reset_connection,
 )
 from flaxstep.proxy.event_log import log_event
@@ -33,12 +35,14 @@
     Upload,
 )
 from flaxstep.proxy.request_parser import RequestParser, UnsupportedConnect
+from flaxstep.proxy.wall_clock import now_ms
 
 MAX_PIPELINED_REQUESTS = 16  # queued on one connection; with more, reading from it pauses
 HEAD_READ_BYTES = 1024  # in one read outside of bodies; all requests in it are queued, however many
 # Of responses that the client does not take; with more, its next requests wait. One response may exceed this.
 MAX_UNSENT_BYTES = 4096
-REQUEST_TIMEOUT_S = 2.6  # for a client to send one request; some clients take 2 s for the head alone
+# For a client to send one request, and from one byte of it to the next; some take 2 s for the head alone.
+REQUEST_TIMEOUT_S = 2.6
 # A body that arrives at this rate extends the timeouts of its request; slow clients send twice as fast.
 MIN_UPLOAD_BYTES_PER_S = 32768
 REQUEST_TIMER_PAUSE_S = 0.1  # before a request is looked at again that was held up or is nearly overdue
@@ -58,8 +62,11 @@
     def accept_request(self, client: ClientConnection, request: ClientRequest) -> None:
         """Start to serve a request and set the connection's `request_id` to its number."""
 
-    def upload_complete(self, client: ClientConnection, request_id: int) -> None:
-        """The last byte of a body that is forwarded while it arrives has been received."""
+    def upload_held_up(self, request_id: int, since_ms: float | None) -> None:
+        """The rest of a body may lie unread since then, as no server takes it; None: all of it is read."""
+
+    def upload_complete(self, request_id: int, sent_at_ms: float) -> None:
+        """The last byte of a body that is forwarded while it arrives has been received; it was sent then."""
 
     def client_gone(self, request_id: int) -> None:
         """The client has disconnected or broken off its request: no response can be sent."""
@@ -72,7 +79,7 @@
     """Keeps the client connections within their limits; the listener implements it.
 
     Connections enter and leave `idle` (between requests), `read_paused` (by descriptor) and `slow_readers`
-    (their requests wait until the client takes earlier responses) by themselves.
+    (whose client does not take its responses as fast as they are written) by themselves.
     """
 
     loop: asyncio.AbstractEventLoop
@@ -94,7 +101,7 @@
         """End the supervision of a connection that has sent a valid request."""
 
     def add_slow_reader(self, client: ClientConnection) -> None:
-        """Watch whether a client takes the responses that its further requests wait for."""
+        """Watch whether a client takes its responses at all."""
 
     def start_lingering(self, client: ClientConnection) -> None:
         """Note that the last response is written. The connection counts against the limit until it closes."""
@@ -125,9 +132,11 @@
         self.paused_for_queue = self.paused_for_upload = False
         self.receiving_request = False  # a request has arrived in part
         self.request_timer: asyncio.TimerHandle | None = None  # runs while a request arrives
-        # Loop time of its first byte, moved on by the times in which the node held up the connection.
-        self.request_started_at = 0.0
-        self.upload_paused_at = 0.0  # loop time
+        # Loop times of its first and its last byte, moved on by the times in which the node did not read.
+        self.request_started_at = self.last_byte_at = 0.0
+        self.blocked_at: float | None = None  # loop time; reading is paused since then
+        self.arrival_clock = ArrivalClock()
+        self.upload_held_up = False  # as reported to the handler
         self.incoming = IncomingRequest()  # empty between requests
         self.counted_in_budget = False  # the body that arrives is one of BodyBudget.body_count
         self.upload: Upload | None = None  # forwards the body that arrives, unless it is buffered whole
@@ -206,8 +215,17 @@
         return buffer
 
     def buffer_updated(self, nbytes: int) -> None:
-        if nbytes == self.read_size:
+        self.last_byte_at = self.listener.loop.time()
+        buffer_filled = nbytes == self.read_size
+        if buffer_filled:
             self.end_turn(self.listener.loop)
+            self.arrival_clock.on_read(now_ms(), nbytes, more_may_wait=True)
+        self.take_input(nbytes)
+        if not buffer_filled and not self.reading_blocked:
+            self.on_caught_up()
+
+    def take_input(self, nbytes: int) -> None:
+        """Parse the bytes that were read, and serve what they complete."""
         if self.output_finished or (self.input_finished and not self.receiving_request):
             return
         self.bytes_since_request += nbytes
@@ -254,22 +272,42 @@
     def update_reading(self) -> None:
         """Pause or resume reading from the client."""
         super().update_reading()
-        if self.reading_blocked and not self.transport.is_closing():
+        if self.transport.is_closing():
+            self.listener.read_paused.pop(self.descriptor, None)
+        elif self.reading_blocked and self.blocked_at is None:
+            self.blocked_at = self.listener.loop.time()
             self.listener.read_paused[self.descriptor] = self
-        else:
+            self.arrival_clock.on_held_up(now_ms())
+        elif not self.reading_blocked and self.blocked_at is not None:
+            self.last_byte_at = self.listener.loop.time()
+            self.request_started_at += self.last_byte_at - self.blocked_at  # not the client's delay
+            self.blocked_at = None
             self.listener.read_paused.pop(self.descriptor, None)
+            if not poll_unread_input(self.descriptor).poll(0):
+                self.on_caught_up()
+
+    def on_caught_up(self) -> None:
+        """All that the client has sent is read."""
+        self.arrival_clock.on_caught_up()
+        if self.upload_held_up:
+            self.upload_held_up = False
+            if self.request_id:
+                self.listener.handler.upload_held_up(self.request_id, None)
 
     def pause_upload(self, pause: bool) -> None:
         """Stop reading the body while no server accepts more of it, or read on."""
         if pause == self.paused_for_upload:
             return
         self.paused_for_upload = pause
-        now = self.listener.loop.time()
-        if pause:
-            self.upload_paused_at = now
-        else:
-            self.request_started_at += now - self.upload_paused_at  # not the client's delay
         self.update_reading()
+        if pause:
+            self.report_held_up_upload()
+
+    def report_held_up_upload(self) -> None:
+        """Tell the handler since when the client's time may run, if the upload is being served."""
+        if self.serving_upload and self.request_id:
+            self.upload_held_up = True
+            self.listener.handler.upload_held_up(self.request_id, self.arrival_clock.written_at(now_ms()))
 
     def stop_reading(self, error: BadRequest) -> None:
         """Read no more after an error in the input: serve the requests before it, then send the error."""
@@ -325,13 +363,10 @@
     def on_request_timeout(self) -> None:
         """Respond with 408 unless the body arrives fast enough: no request may hold a descriptor for ever."""
         loop = self.listener.loop
-        time_left_s = (
-            self.request_started_at
-            + REQUEST_TIMEOUT_S
-            + self.incoming.body_bytes_received / MIN_UPLOAD_BYTES_PER_S
-            - loop.time()
-        )
-        if self.paused_for_upload or self in self.listener.slow_readers or time_left_s > 0:
+        upload_s = self.incoming.body_bytes_received / MIN_UPLOAD_BYTES_PER_S
+        timeout_at = min(self.request_started_at + upload_s, self.last_byte_at) + REQUEST_TIMEOUT_S
+        time_left_s = timeout_at - loop.time()
+        if self.reading_blocked or self in self.listener.slow_readers or time_left_s > 0:
             self.request_timer = loop.call_later(
                 max(time_left_s, REQUEST_TIMER_PAUSE_S), self.on_request_timeout
             )
@@ -341,10 +376,9 @@
 
     def on_first_request_timeout(self, overdue_s: float) -> None:
         """Close a connection without a valid request, unless its first body arrives fast enough."""
-        if (
-            self.incoming.headers.complete
-            and overdue_s < self.incoming.body_bytes_received / MIN_UPLOAD_BYTES_PER_S
-        ):
+        upload_s = self.incoming.body_bytes_received / MIN_UPLOAD_BYTES_PER_S
+        stopped = self.listener.loop.time() >= self.last_byte_at + REQUEST_TIMEOUT_S
+        if self.incoming.headers.complete and overdue_s < upload_s and not stopped:
             return
         if self.receiving_request and not self.input_finished:
             self.stop_reading(BadRequest(408))
@@ -435,6 +469,7 @@
         if self.detect_departure():
             upload.abort()
             return
+        upload.sent_at_ms = self.arrival_clock.written_at(now_ms())
         upload.finish()
         self.pause_upload(False)
         if upload.response_sent:
@@ -445,11 +480,12 @@
         elif self.serving_upload:
             self.serving_upload = False
             if self.request_id:
-                self.listener.handler.upload_complete(self, self.request_id)
+                self.listener.handler.upload_complete(self.request_id, upload.sent_at_ms)
 
     def build_request(self) -> ClientRequest | HealthCheck:
         """Return the request that has arrived; raise BadRequest if it is invalid."""
-        request = self.incoming.build(self.listener.config, self.parser)
+        sent_at_ms = self.arrival_clock.written_at(now_ms())
+        request = self.incoming.build(self.listener.config, self.parser, sent_at_ms)
         if isinstance(request, ClientRequest):
             self.listener.on_valid_request(self)
         return request
@@ -462,11 +498,12 @@
         if self.can_serve_next():
             self.serve_next_request()
         self.serving_queue = False
+        if self.paused_for_queue and not self.queued_requests and not self.input_finished:
+            self.paused_for_queue = False  # also while one is served: its body may still be unread
+            self.update_reading()
         if self.can_serve_next():
             self.next_turn_scheduled = True
             self.listener.loop.call_soon(self.serve_in_next_turn)
-        if self.writing_paused and self.queued_requests and not self.serving_request:
-            self.listener.add_slow_reader(self)
         if (
             self.incoming.headers.awaits_continue
             and self.receiving_request
@@ -515,6 +552,8 @@
         upload = request.message.upload
         self.serving_upload = upload is not None and not upload.complete
         self.listener.handler.accept_request(self, request)
+        if self.paused_for_upload:
+            self.report_held_up_upload()
         if self.serving_upload and request.awaits_continue and self.serving_request:
             self.send_continue()
 
@@ -588,6 +627,7 @@
     def pause_writing(self) -> None:
         self.writing_paused = True
         self.log_flow("client_reads_slowly")
+        self.listener.add_slow_reader(self)
         if self.response_streaming:
             self.listener.handler.pause_response(self.request_id, True)
 
@@ -622,9 +662,6 @@
         self.serve_next_requests()
         if self.queued_requests or self.serving_request:
             return
-        if self.paused_for_queue:
-            self.paused_for_queue = False
-            self.update_reading()
         if not self.receiving_request and not self.input_finished:
             self.enter_idle()
 
--- a/flaxstep/proxy/client_requests.py
+++ b/flaxstep/proxy/client_requests.py
@@ -46,7 +46,7 @@
     cls: int
     tenant: int
     key: int
-    sent_at_ms: float  # when the node parsed the request, the closest known time to its sending
+    sent_at_ms: float  # when its client may have written its last byte, or its head if it is an upload
     timeout_ms: float  # from then until the client gives up
     work_hint_ms: float  # the client's estimate of the work; 0: none given
     is_client_retry: bool  # the client has marked it with Client-Retry
--- a/flaxstep/proxy/incoming_request.py
+++ b/flaxstep/proxy/incoming_request.py
@@ -16,7 +16,6 @@
 from flaxstep.proxy.header_limit import MAX_HEADER_BYTES
 from flaxstep.proxy.request_bodies import MAX_REQUEST_BODY_BYTES
 from flaxstep.proxy.request_parser import RequestParser
-from flaxstep.proxy.wall_clock import now_ms
 
 HEALTH_PATH = b"/_health"
 
@@ -74,7 +73,7 @@
         length = self.headers.content_length
         return b"Content-Length: %d\r\n" % length if length else b""
 
-    def build(self, config: Config, parser: RequestParser) -> ClientRequest | HealthCheck:
+    def build(self, config: Config, parser: RequestParser, sent_at_ms: float) -> ClientRequest | HealthCheck:
         """Return the request that has arrived; raise BadRequest if it is invalid."""
         headers, target = self.headers, self.target
         if not target.startswith(b"/") and (prefix := _ABSOLUTE_URL_PREFIX.match(target)):
@@ -95,7 +94,7 @@
             cls=cls,
             tenant=tenant,
             key=key,
-            sent_at_ms=now_ms(),
+            sent_at_ms=sent_at_ms,
             timeout_ms=headers.timeout_ms,
             work_hint_ms=headers.work_hint_ms,
             is_client_retry=headers.is_client_retry,
--- a/flaxstep/proxy/node.py
+++ b/flaxstep/proxy/node.py
@@ -41,6 +41,7 @@
     Began,
     Cancel,
     DiscoveryReach,
+    DueChanged,
     Event,
     Fail,
     Limit,
@@ -62,6 +63,8 @@
 # Subtracted from a client's timeout for the way back to it. Clients may give only 40 ms in all, and the rule
 # on final responses allows some slack for a late event loop besides.
 CLIENT_TIMEOUT_MARGIN_MS = 10.0
+# At most; while a request's body arrives, its deadline is this much later.
+MAX_UPLOAD_MS = 1000 * MAX_REQUEST_BODY_BYTES / MIN_UPLOAD_BYTES_PER_S
 # For listeners, discovery, files, admin connections, and connections that are closing.
 RESERVED_DESCRIPTORS = 64
 BODY_MEMORY_DIVISOR = 8  # buffered bodies may use one eighth of the memory limit
@@ -259,13 +262,10 @@
         request_id = client.request_id = self.last_id
         upload = request.message.upload
         uploading = upload is not None and not upload.complete
-        deadline = (
-            max(request.sent_at_ms, now_ms() if upload is not None else 0.0)
-            + request.timeout_ms
-            - CLIENT_TIMEOUT_MARGIN_MS
-        )
+        sent_at_ms = request.sent_at_ms if upload is None else upload.sent_at_ms
         if uploading:
-            deadline += 1000 * MAX_REQUEST_BODY_BYTES / MIN_UPLOAD_BYTES_PER_S
+            sent_at_ms = now_ms() + MAX_UPLOAD_MS
+        deadline = sent_at_ms + request.timeout_ms - CLIENT_TIMEOUT_MARGIN_MS
         request.message.timeout_ms = request.timeout_ms
         self.pending_requests[request_id] = PendingRequest(
             client, request.message, request.cls, deadline, request.timeout_ms, uploading
@@ -292,14 +292,23 @@
             )
         )
 
-    def upload_complete(self, client: ClientConnection, request_id: int) -> None:
+    def upload_held_up(self, request_id: int, since_ms: float | None) -> None:
+        """The client may have sent all of the body since then; None if it sends on, and the node keeps up."""
+        pending = self.pending_requests.get(request_id)
+        if pending is None or not pending.uploading or pending.streaming_attempt is not None:
+            return
+        sent_at_ms = now_ms() + MAX_UPLOAD_MS if since_ms is None else since_ms
+        pending.deadline = sent_at_ms + pending.timeout_ms - CLIENT_TIMEOUT_MARGIN_MS
+        self.dispatch_event(DueChanged(request_id, pending.deadline))
+
+    def upload_complete(self, request_id: int, sent_at_ms: float) -> None:
         """The request's body has been received completely: its deadline is known from now on."""
         pending = self.pending_requests.get(request_id)
         if pending is None:
             return
         pending.uploading = False
         if pending.streaming_attempt is None:  # otherwise its response is streamed already
-            pending.deadline = now_ms() + pending.timeout_ms - CLIENT_TIMEOUT_MARGIN_MS
+            pending.deadline = sent_at_ms + pending.timeout_ms - CLIENT_TIMEOUT_MARGIN_MS
             self.dispatch_event(Uploaded(request_id, pending.deadline))
 
     def client_gone(self, request_id: int) -> None:
--- a/flaxstep/proxy/request_bodies.py
+++ b/flaxstep/proxy/request_bodies.py
@@ -69,6 +69,7 @@
         # Whether the last byte has arrived, and whether what still arrives is discarded.
         self.complete = self.discarding = False
         self.response_sent = False  # the response was sent before the end of the body
+        self.sent_at_ms = 0.0  # when the client may have sent the last byte, once it has arrived
 
     def feed(self, data: bytes) -> None:
         """Buffer a part of the body that has arrived, until `flush` or `finish`."""
@@ -94,11 +95,11 @@
     def attach(self, sink: UploadSink) -> None:
         """Write what is buffered to a server's connection, and forward the rest to it."""
         self.sink, self.partly_sent = sink, True
+        if not self.complete and not self.discarding:
+            self.source.pause_upload(False)  # first: the sink pauses the source again if it takes no more
         self.flush()
         if self.complete:
             sink.finish_body()
-        elif not self.discarding:
-            self.source.pause_upload(False)
 
     def detach(self) -> None:
         """Forward no more to the attached server; the body may be attached to another if unsent."""
--- a/flaxstep/routing/interface.py
+++ b/flaxstep/routing/interface.py
@@ -212,6 +212,17 @@
     due: float
 
 
+@dataclass(slots=True)
+class DueChanged:
+    """While the body of a request is received, another time has become known at which the client gives up.
+
+    While servers take no more of the body, the client may have sent all of it, and its time runs.
+    """
+
+    id: int
+    due: float
+
+
 @dataclass(slots=True)
 class Began:
     """A response is being passed on. Its deadline no longer applies, and no other attempt can follow."""
@@ -288,6 +299,7 @@
     | DiscoveryReach
     | Request
     | Uploaded
+    | DueChanged
     | Began
     | Outcome
     | ProbeResult
--- a/flaxstep/routing/policy.py
+++ b/flaxstep/routing/policy.py
@@ -24,6 +24,7 @@
     Cause,
     Cordon,
     DiscoveryReach,
+    DueChanged,
     Effect,
     Event,
     Fail,
@@ -273,6 +274,8 @@
             self.remove_request(event.id)
         elif isinstance(event, Uploaded):
             self.on_uploaded(event)
+        elif isinstance(event, DueChanged):
+            self.on_due_changed(event)
         elif isinstance(event, Began):
             self.on_began(event)
         elif isinstance(event, Cordon):
@@ -804,6 +807,18 @@
                 Limit(event.id, attempt_number, self.compute_attempt_deadline(pending) - self.now)
             )
 
+    def on_due_changed(self, event: DueChanged) -> None:
+        """Apply another time at which the client gives up, while the body is received."""
+        pending = self.pending_requests.get(event.id)
+        if pending is None or not pending.request.uploading:
+            return
+        pending.request.due = event.due
+        left = max(event.due - self.now, 0.0)
+        for attempt_number in sorted(pending.open_attempts):
+            self.actions.append(Limit(event.id, attempt_number, left))
+        if not pending.attempts_sent:  # it waits for others of its key
+            self.actions.append(Wake(left, event.id))
+
     def on_began(self, event: Began) -> None:
         """Count a response that is being passed on as a success: the server has done the work."""
         if event.id in self.pending_requests:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -18,7 +18,6 @@
     client_listener,
     connection_pool,
     discovery,
-    incoming_request,
     node,
     server_connections,
 )
@@ -421,7 +420,7 @@
 
 
 def test_margin_is_small_for_short_timeouts(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(incoming_request, "now_ms", lambda: 1000.0)
+    monkeypatch.setattr(client_connections, "now_ms", lambda: 1000.0)
 
     async def test() -> None:
         async with run_node(await FakeServer().start()) as fixture:
@@ -728,7 +727,7 @@
 
 def test_idle_limit_shrinks_when_servers_close_earlier(monkeypatch: pytest.MonkeyPatch) -> None:
     clock = [1000.0]
-    for module in (incoming_request, connection_pool, node, server_connections):
+    for module in (client_connections, connection_pool, node, server_connections):
         monkeypatch.setattr(module, "now_ms", lambda: clock[0])
     last: dict[asyncio.StreamWriter, float] = {}
 
