Judge a reader's progress by what its side has acknowledged, and watch every slow one

Cause: progress was what our transport still held. What the kernel holds did not count, so a connection was aborted a second after the last byte had left the transport; and readers were watched only while further requests of theirs waited. Change: the kernel's count of unacknowledged bytes (TIOCOUTQ) counts too, also for eviction; each client that takes less than is written is watched, and reset after 5 s without a byte.

--- a/flaxstep/proxy/client_listener.py
+++ b/flaxstep/proxy/client_listener.py
@@ -10,7 +10,7 @@
 from flaxstep.proxy.client_connections import ClientConnection, RequestHandler
 from flaxstep.proxy.client_requests import BadRequest, ClientRequest
 from flaxstep.proxy.config import Config
-from flaxstep.proxy.connection_close import WriteProgress
+from flaxstep.proxy.connection_close import WriteProgress, count_unsent_bytes
 from flaxstep.proxy.event_log import log_event
 from flaxstep.proxy.request_bodies import BodyBudget
 
@@ -48,7 +48,7 @@
         # Connections closed on this side that wait for the client to close too. They still hold descriptors.
         self.lingering: OrderedDict[ClientConnection, None] = OrderedDict()
         self.read_paused: dict[int, ClientConnection] = {}  # by descriptor
-        # Connections whose requests wait until their client takes the responses to earlier ones.
+        # Connections whose client does not take its responses as fast as they are written.
         self.slow_readers: dict[ClientConnection, WriteProgress] = {}
         # Candidates for eviction, each with the loop time since which it is in that state, oldest first.
         self.awaiting_first_byte: OrderedDict[ClientConnection, float] = OrderedDict()
@@ -143,7 +143,7 @@
         those whose first request still arrives.
         """
         for lingering in self.lingering:
-            if not lingering.transport.get_write_buffer_size():
+            if not count_unsent_bytes(lingering.transport):
                 del self.lingering[lingering]
                 lingering.transport.abort()
                 return True
@@ -178,7 +178,7 @@
         self.receiving_first_request.pop(client, None)
 
     def add_slow_reader(self, client: ClientConnection) -> None:
-        """Watch whether a client takes the responses that its further requests wait for."""
+        """Watch whether a client takes its responses at all: it holds memory, and perhaps a server."""
         if client not in self.slow_readers:
             self.slow_readers[client] = WriteProgress(client.transport, self.loop.time())
 
@@ -235,7 +235,7 @@
             self.close_idle()
 
     def reset_stalled_readers(self) -> None:
-        """Reset connections whose client takes no responses although further requests of it wait."""
+        """Reset connections whose client takes nothing of its responses."""
         now = self.loop.time()
         for client in [client for client, progress in self.slow_readers.items() if progress.stalled(now)]:
             client.reset("responses_not_read")
--- a/flaxstep/proxy/connection_close.py
+++ b/flaxstep/proxy/connection_close.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import math
 import select
 import socket
 import struct
+import termios
 from contextlib import suppress
 from http import HTTPStatus
 
 LINGER_TIMEOUT_S = 1.0  # how long input is discarded after the last response
+END_OF_STREAM_BYTES = 1  # that the kernel counts for it
 WRITE_STALL_TIMEOUT_S = 5.0  # without a byte of that response sent, the rest of it is given up
 
 STATUS_LINES = {
@@ -19,12 +22,21 @@
 }
 
 
+def count_unsent_bytes(transport: asyncio.Transport) -> int:
+    """The bytes written to a connection that the other side has not acknowledged."""
+    connection_socket = transport.get_extra_info("socket")
+    in_kernel = 0
+    with suppress(OSError, AttributeError):  # closed meanwhile
+        in_kernel = struct.unpack("i", fcntl.ioctl(connection_socket.fileno(), termios.TIOCOUTQ, bytes(4)))[0]
+    return transport.get_write_buffer_size() + max(0, in_kernel - END_OF_STREAM_BYTES)
+
+
 class WriteProgress:
     """Whether the other side of a connection takes what is written to it. Times are in s, from one clock."""
 
     def __init__(self, transport: asyncio.Transport, now: float) -> None:
         self.transport = transport
-        self.unsent_bytes = transport.get_write_buffer_size()
+        self.unsent_bytes = count_unsent_bytes(transport)
         self.started_at = self.unchanged_since = now
 
     def stalled(self, now: float, timeout_when_sent_s: float = math.inf) -> bool:
@@ -32,7 +44,7 @@
 
         Once all bytes are sent, `timeout_when_sent_s` counts instead.
         """
-        unsent_bytes = self.transport.get_write_buffer_size()
+        unsent_bytes = count_unsent_bytes(self.transport)
         if unsent_bytes != self.unsent_bytes:
             self.unsent_bytes, self.unchanged_since = unsent_bytes, now
         return now - self.unchanged_since >= (WRITE_STALL_TIMEOUT_S if unsent_bytes else timeout_when_sent_s)
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -150,6 +150,24 @@
     run(test())
 
 
+# Guards against: such a client holds the connection to its server too, for as long as it likes.
+def test_client_that_takes_nothing_of_a_streamed_response_frees_the_server(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(connection_close, "WRITE_STALL_TIMEOUT_S", 0.5)
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 20000000\r\n\r\n"
+
+    async def test() -> None:
+        server = await FakeServer(respond_with(head + bytes(20_000_000))).start()
+        async with run_node(server) as fixture, slow_client(fixture) as (client, _):
+            client.writer.write(build_request())
+            await wait_until(lambda: fixture.node.listener.slow_readers)
+            await wait_until(lambda: not fixture.node.pool.connections)
+            assert not fixture.node.listener.connections and not fixture.node.pending_requests
+
+    run(test())
+
+
 # Guards against: a shutdown drops requests that were read and wait for their client.
 def test_waiting_requests_of_a_slow_reader_are_served_when_the_node_stops() -> None:
     async def test() -> None:
