Free connections that have closed at once, not when the collector comes

Cause: a connection, its parser and the library's parser refer to each other, and so do a connection to a job server and its parser. Such cycles wait for a full run of the garbage collector, which comes late for objects that have lived for a second. Change: the parser is let go when its connection is lost.

--- a/flaxstep/proxy/client_connections.py
+++ b/flaxstep/proxy/client_connections.py
@@ -156,6 +156,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.listener.on_connection_closed(self)
         self.abandon()
+        self.parser.close()
 
     def eof_received(self) -> None:
         """Treat a half-close as the client's departure: it waits for no response. The transport closes."""
--- a/flaxstep/proxy/request_parser.py
+++ b/flaxstep/proxy/request_parser.py
@@ -84,6 +84,10 @@
     def is_connect(self) -> bool:
         return self.library_parser.get_method() == b"CONNECT"
 
+    def close(self) -> None:
+        """Parse no more. It and its receiver refer to each other, and would wait for the collector."""
+        del self.library_parser, self.receiver
+
     def get_method(self) -> bytes:
         """The method of the current request."""
         return self.library_parser.get_method()
--- a/flaxstep/proxy/server_connections.py
+++ b/flaxstep/proxy/server_connections.py
@@ -133,8 +133,13 @@
         self.pool.connections.discard(self)
         if self in self.server.idle:
             self.server.idle.remove(self)
-        if self.attempt is None:
-            return
+        if self.attempt is not None:
+            self.end_attempt_at_close(exc)
+        del self.parser  # they refer to each other, and would wait for the collector
+
+    def end_attempt_at_close(self, exc: Exception | None) -> None:
+        """End the attempt whose connection has closed, with its response if that ends so."""
+        assert self.attempt is not None
         if exc is None and self.head_received and self.content_length is None and not self.transfer_coding:
             self.response_complete = True  # such a response ends with its connection
             self.finish_response()
