Give servers half of the descriptors, and blame no server for the node's own limit

An attempt that found none counted as a server that can't be reached, for each server in turn. Change: half of what is left for each side (480 and 480; 96 and 96 of 256). Such an attempt was never sent, and the decisions learn nothing of a server from it. One log line a second, with the number.

--- a/flaxstep/proxy/connection_pool.py
+++ b/flaxstep/proxy/connection_pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from bisect import insort
 from typing import Protocol
 
@@ -25,6 +26,7 @@
 # few milliseconds late, would be taken for the response to the next one. Seen up to 4.6 ms late.
 CONNECTION_REUSE_DELAY_MS = 10.0
 IDLE_SWEEP_INTERVAL_S = 1.0
+LIMIT_LOG_INTERVAL_S = 1.0
 
 log = logging.getLogger("flaxstep.proxy")
 
@@ -70,6 +72,7 @@
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.connections: set[ServerConnection] = set()
         self.pending_connects = 0
+        self.limit_logged_at, self.unconnected_attempts = -math.inf, 0  # attempts since that log line
         self.loop.call_later(IDLE_SWEEP_INTERVAL_S, self.sweep_connections)
 
     def update(self, server_id: int, address: Address, state: State, started: float) -> None:
@@ -175,10 +178,8 @@
             len(self.connections) + self.pending_connects >= self.max_connections
             and not self.close_idle_connection()
         ):
-            log.warning(
-                "no connection to server %s:%d: the limit on server connections is reached", *server.address
-            )
-            self.finish_attempt(attempt, Result.UNREACHABLE)
+            self.log_limit_reached()
+            self.finish_attempt(attempt, Result.NOT_SENT)  # it says nothing about the server
             return
         self.pending_connects += 1
         connection = ServerConnection(self, server)
@@ -204,6 +205,17 @@
             self.connections.add(connection)
             connection.send_request(attempt)
 
+    def log_limit_reached(self) -> None:
+        """Log that attempts find no descriptor, at most once in LIMIT_LOG_INTERVAL_S."""
+        self.unconnected_attempts += 1
+        if self.loop.time() >= self.limit_logged_at + LIMIT_LOG_INTERVAL_S:
+            log.warning(
+                "%d attempts without a connection: the limit of %d server connections is reached",
+                self.unconnected_attempts,
+                self.max_connections,
+            )
+            self.limit_logged_at, self.unconnected_attempts = self.loop.time(), 0
+
     def set_limit(self, limit: int) -> None:
         """Change the maximum number of connections, and close idle ones that exceed it."""
         self.max_connections = limit
--- a/flaxstep/proxy/node.py
+++ b/flaxstep/proxy/node.py
@@ -100,10 +100,11 @@
 def connection_limits(sockets: int) -> tuple[int, int]:
     """Return the maximum numbers of client connections and of server connections.
 
-    Servers get a third: few requests are in flight at a time, but clients keep their connections open.
+    Clients may hold a third of the descriptors for requests, and each of these may need a connection to a
+    server for long. So servers get half: enough for that, and for others beside.
     """
     left = sockets - min(RESERVED_DESCRIPTORS, sockets // 4)
-    return left - left // 3, left // 3
+    return left - left // 2, left // 2
 
 
 class Node:
