Draw all that is held for peers from one account, sized by limits.memory_mb

Cause: the budget counted bodies that arrive, by number, not what is held: not heads, queues, requests kept for a retry, unsent answers, connections, lists; and by length, not cost. Fields and one-byte chunks were objects of their own (a 14 kB head: 200 kB), bodies and heads grew in one array each, which the heap can't reuse, requests and answers were copied whole to be written. Change: memory_account.py. Each holder (client connection, connection to a job server from its dial, call to discovery, list in force) tells what it holds at its cost; the account is the limit less what the process takes at its start (VmRSS) and a tenth. A body's share is an eighth of what is left, so bodies are passed on in ever smaller parts; over the account the biggest holders refuse what has not begun (503), or are closed or reset; what comes then is refused. Bytes are collected in blocks of 4 KiB (block_buffer.py) and written without a copy; a list may cost half of the account. Checks of body_count are checks of the account's sum now.

--- a/flaxstep/proxy/client_connections.py
+++ b/flaxstep/proxy/client_connections.py
@@ -9,6 +9,7 @@
 import httptools
 
 from flaxstep.proxy.arrival_clock import ArrivalClock
+from flaxstep.proxy.block_buffer import BlockBuffer
 from flaxstep.proxy.client_requests import (
     BadRequest,
     ClientRequest,
@@ -27,13 +28,14 @@
 from flaxstep.proxy.event_log import log_event
 from flaxstep.proxy.header_limit import MAX_HEADER_BYTES, HeadersTooLong
 from flaxstep.proxy.incoming_request import IncomingRequest
-from flaxstep.proxy.read_turns import TurnLimitedProtocol
-from flaxstep.proxy.request_bodies import (
-    BUFFERED_BODY_BYTES,
-    MIN_BODY_SHARE_BYTES,
-    BodyBudget,
-    Upload,
+from flaxstep.proxy.memory_account import (
+    CLIENT_CONNECTION_BYTES,
+    QUEUED_REQUEST_BYTES,
+    REQUEST_BYTES,
+    MemoryAccount,
 )
+from flaxstep.proxy.read_turns import TurnLimitedProtocol
+from flaxstep.proxy.request_bodies import BUFFERED_BODY_BYTES, Upload
 from flaxstep.proxy.request_parser import RequestParser, UnsupportedConnect
 from flaxstep.proxy.wall_clock import now_ms
 
@@ -85,7 +87,7 @@
     loop: asyncio.AbstractEventLoop
     config: Config
     handler: RequestHandler
-    body_budget: BodyBudget
+    account: MemoryAccount
     idle: OrderedDict[ClientConnection, float]
     read_paused: dict[int, ClientConnection]
     receiving_first_request: OrderedDict[ClientConnection, float]
@@ -123,6 +125,7 @@
         self.queued_requests: deque[tuple[ClientRequest | Rejection | HealthCheck, bool]] = deque()
         self.request_id = 0  # the node's number of the request that is being served; 0: none
         self.serving_request = self.serving_queue = False
+        self.served_bytes = 0  # kept of the request that is being served, for a retry
         self.next_turn_scheduled = False  # in which the next queued request is served
         self.keep_alive = True  # after the current response
         self.input_finished = False  # no further request is read, or the last response has been written
@@ -138,7 +141,6 @@
         self.arrival_clock = ArrivalClock()
         self.upload_held_up = False  # as reported to the handler
         self.incoming = IncomingRequest()  # empty between requests
-        self.counted_in_budget = False  # the body that arrives is one of BodyBudget.body_count
         self.upload: Upload | None = None  # forwards the body that arrives, unless it is buffered whole
         self.serving_upload = False  # the request that is being served still uploads its body
         self.response_chunked = False  # the current response is sent with chunked coding
@@ -152,10 +154,12 @@
         self.descriptor: int = transport.get_extra_info("socket").fileno()
         self.transport.set_write_buffer_limits(MAX_UNSENT_BYTES)
         self.listener.on_connection_opened(self)
+        self.update_account()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.listener.on_connection_closed(self)
         self.abandon()
+        self.listener.account.remove(self)
         self.parser.close()
 
     def eof_received(self) -> None:
@@ -206,12 +210,60 @@
         self.listener.start_lingering(self)
         close_after_response(self.listener.loop, self.transport)
 
+    # The memory that is held for the client.
+
+    def update_account(self) -> None:
+        """Tell the account what this connection holds, while it is open."""
+        if not self.transport.is_closing():
+            self.listener.account.update(self)
+
+    def count_held_bytes(self) -> int:
+        """What the process holds for the client: requests that arrive, wait or are served, and responses."""
+        held_bytes = CLIENT_CONNECTION_BYTES + self.transport.get_write_buffer_size() + self.served_bytes
+        if self.receiving_request:
+            held_bytes += self.incoming.count_held_bytes() + self.parser.unfinished_line_bytes
+        if self.upload is not None:
+            held_bytes += self.upload.buffered.count_held_bytes()
+        for item, _ in self.queued_requests:
+            held_bytes += QUEUED_REQUEST_BYTES
+            if isinstance(item, ClientRequest):
+                held_bytes += item.message.count_held_bytes()
+        return held_bytes
+
+    def release_memory(self) -> bool:
+        """Refuse what has not begun; end a connection that owes no answer, or whose answers are not read."""
+        if self.transport.is_closing():
+            return False
+        if self.writing_paused:
+            self.reset("memory")
+        elif self.input_finished:
+            return False
+        elif self.receiving_request:
+            self.stop_reading(BadRequest(503))
+            self.refuse_queued_requests()
+            self.serve_next_requests()
+        elif self.queued_requests:
+            self.refuse_queued_requests()
+        elif not self.serving_request:
+            self.close("memory")
+        else:
+            return False
+        return True
+
+    def refuse_queued_requests(self) -> None:
+        """Answer the requests that wait for their turn with 503: none of them has been sent to a server."""
+        refusal = BadRequest(503).rejection
+        self.queued_requests = deque(
+            (refusal if isinstance(item, ClientRequest) else item, keep_alive)
+            for item, keep_alive in self.queued_requests
+        )
+
     # Reading requests.
 
     def get_buffer(self, sizehint: int) -> memoryview:
         receiving_body = self.receiving_request and self.incoming.headers.complete
         max_bytes = BUFFERED_BODY_BYTES if receiving_body or self.input_finished else HEAD_READ_BYTES
-        buffer = self.listener.body_budget.read_buffer(max_bytes)
+        buffer = self.listener.account.read_buffer(max_bytes)
         self.read_size = len(buffer)
         return buffer
 
@@ -224,6 +276,7 @@
         self.take_input(nbytes)
         if not buffer_filled and not self.reading_blocked:
             self.on_caught_up()
+        self.update_account()
 
     def take_input(self, nbytes: int) -> None:
         """Parse the bytes that were read, and serve what they complete."""
@@ -232,7 +285,7 @@
         self.bytes_since_request += nbytes
         self.listener.on_bytes_received(self)
         try:
-            self.parser.feed(self.listener.body_budget.buffer, nbytes)
+            self.parser.feed(self.listener.account.read_memory, nbytes)
         except UnsupportedConnect:
             self.input_finished = True  # its rejection is the last response
             if self.queued_requests:
@@ -264,7 +317,7 @@
         if len(queued) < 2:
             return False
         bodies = sum(len(item.message.body) for item, _ in queued if isinstance(item, ClientRequest))
-        return len(queued) > MAX_PIPELINED_REQUESTS or bodies > self.listener.body_budget.share_bytes
+        return len(queued) > MAX_PIPELINED_REQUESTS or bodies > self.listener.account.share_bytes
 
     @property
     def reading_blocked(self) -> bool:
@@ -301,6 +354,7 @@
             return
         self.paused_for_upload = pause
         self.update_reading()
+        self.update_account()
         if pause:
             self.report_held_up_upload()
 
@@ -349,9 +403,6 @@
         if self.request_timer is not None:
             self.request_timer.cancel()
             self.request_timer = None
-        if self.counted_in_budget:
-            self.counted_in_budget = False
-            self.listener.body_budget.body_count -= 1
         if self.upload is not None:
             upload, self.upload = self.upload, None
             upload.abort()
@@ -415,29 +466,20 @@
         request = self.build_request()
         if isinstance(request, HealthCheck):
             raise BadRequest(400)
-        self.count_in_budget()
-        self.upload = Upload(self, self.listener.body_budget, length, request.message.body)
-        request.message.upload, request.message.body = self.upload, b""
+        self.upload = Upload(self, self.listener.account, length, request.message.body)
+        request.message.upload, request.message.body = self.upload, BlockBuffer()
         request.awaits_continue = self.incoming.headers.awaits_continue
         self.queued_requests.append((request, self.parser.should_keep_alive()))
 
-    def count_in_budget(self) -> None:
-        """Count the body that arrives among those that share the memory budget."""
-        if not self.counted_in_budget:
-            self.counted_in_budget = True
-            self.listener.body_budget.body_count += 1
-
     def on_body(self, body: bytes) -> None:
         incoming = self.incoming
         incoming.count_body(len(body))
         if self.upload is not None:
             self.upload.feed(body)
             return
-        incoming.body += body
-        if len(incoming.body) > MIN_BODY_SHARE_BYTES:
-            self.count_in_budget()
-        if len(incoming.body) > self.listener.body_budget.share_bytes:
-            # With many bodies in memory each may buffer less, even one with a short Content-Length.
+        incoming.body.append(body)
+        if len(incoming.body) > self.listener.account.share_bytes:
+            # With much in memory each body may buffer less, even one with a short Content-Length.
             headers = incoming.headers
             self.start_upload(None if headers.chunked else headers.content_length)
 
@@ -489,6 +531,8 @@
         request = self.incoming.build(self.listener.config, self.parser, sent_at_ms)
         if isinstance(request, ClientRequest):
             self.listener.on_valid_request(self)
+            if self.listener.account.is_exhausted:
+                raise BadRequest(503)
         return request
 
     def serve_next_requests(self) -> None:
@@ -550,6 +594,7 @@
         if self.detect_departure():
             return
         request.message.source = self
+        self.served_bytes = REQUEST_BYTES + request.message.count_held_bytes()
         upload = request.message.upload
         self.serving_upload = upload is not None and not upload.complete
         self.listener.handler.accept_request(self, request)
@@ -569,7 +614,8 @@
         lines = b"%b%d\r\n%b" % (STATUS_LINES[status], len(body), extra_headers)
         if content_type:
             lines += b"Content-Type: %b\r\n" % content_type
-        self.transport.write(b"%b%b\r\n%b" % (lines, b"" if keep_alive else b"Connection: close\r\n", body))
+        lines += b"\r\n" if keep_alive else b"Connection: close\r\n\r\n"
+        self.transport.writelines([lines, body])
         self.on_response_sent(keep_alive)
 
     def keep_alive_after_response(self) -> bool:
@@ -629,12 +675,14 @@
         self.writing_paused = True
         self.log_flow("client_reads_slowly")
         self.listener.add_slow_reader(self)
+        self.update_account()
         if self.response_streaming:
             self.listener.handler.pause_response(self.request_id, True)
 
     def resume_writing(self) -> None:
         self.writing_paused = False
         self.log_flow("client_reads_again")
+        self.update_account()
         if self.response_streaming:
             self.listener.handler.pause_response(self.request_id, False)
         if (progress := self.listener.slow_readers.pop(self, None)) is not None:
@@ -654,9 +702,11 @@
     def on_response_sent(self, keep_alive: bool) -> None:
         """Finish with the current request and continue with the next one."""
         self.serving_request = False
+        self.served_bytes = 0
         if self.serving_upload and self.upload is not None:
             self.upload.discard_rest()
         self.serving_upload = False
+        self.update_account()
         if not keep_alive:
             self.finish_connection()
             return
--- a/flaxstep/proxy/client_listener.py
+++ b/flaxstep/proxy/client_listener.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import logging
+import math
 import socket
 from collections import OrderedDict
 from typing import Any
@@ -12,17 +14,20 @@
 from flaxstep.proxy.config import Config
 from flaxstep.proxy.connection_close import WriteProgress, count_unsent_bytes
 from flaxstep.proxy.event_log import log_event
-from flaxstep.proxy.request_bodies import BodyBudget
+from flaxstep.proxy.memory_account import MemoryAccount
 
 MAX_ACCEPT_QUEUE = 4096  # the listen() backlog in connections; the kernel caps it at its own limit
 # From the opening of a connection to its first valid request. A client must be given up after at most 3 s.
 FIRST_REQUEST_TIMEOUT_S = 2.6
 # Without a byte of its first request for this long, a connection is evicted before idle ones.
 FIRST_REQUEST_STALL_S = 0.5
+MEMORY_LOG_INTERVAL_S = 1.0
 SWEEP_INTERVAL_S = 0.1  # between searches for connections that send no valid request
 # From the opening of a connection: during a drain it may still send its first request for this long.
 DRAIN_GRACE_FOR_NEW_S = 0.3
 
+log = logging.getLogger("flaxstep.proxy")
+
 
 class Listener:
     """Accepts client connections and keeps them within the limit of descriptors.
@@ -37,10 +42,10 @@
         config: Config,
         handler: RequestHandler,
         max_connections: int,
-        body_budget: BodyBudget,
+        account: MemoryAccount,
     ) -> None:
         self.loop = loop
-        self.body_budget = body_budget
+        self.account = account
         self.config = config
         self.handler = handler
         self.max_connections = max_connections
@@ -56,6 +61,7 @@
         self.idle: OrderedDict[ClientConnection, float] = OrderedDict()  # between requests
         # Connections that were in the kernel's queue when the listener closed.
         self.accept_tasks: set[asyncio.Task[Any]] = set()
+        self.memory_logged_at = -math.inf  # loop time
         # Connections that have sent no valid request yet, with the loop time at which they opened.
         self.awaiting_first_request: OrderedDict[ClientConnection, float] = OrderedDict()
 
@@ -226,6 +232,7 @@
         self.loop.call_later(SWEEP_INTERVAL_S, self.sweep_connections)
         self.detect_departures()
         self.reset_stalled_readers()
+        self.log_released_memory()
         oldest_allowed = self.loop.time() - FIRST_REQUEST_TIMEOUT_S
         for client, opened_at in [
             entry for entry in self.awaiting_first_request.items() if entry[1] < oldest_allowed
@@ -234,6 +241,18 @@
         if self.handler.draining:
             self.close_idle()
 
+    def log_released_memory(self) -> None:
+        """Log that connections had to give up memory, at most once in MEMORY_LOG_INTERVAL_S."""
+        account, now = self.account, self.loop.time()
+        if account.released_count and now >= self.memory_logged_at + MEMORY_LOG_INTERVAL_S:
+            log.warning(
+                "memory: %d requests refused or connections closed; %d of %d bytes held for peers",
+                account.released_count,
+                account.held_bytes,
+                account.total_bytes,
+            )
+            self.memory_logged_at, account.released_count = now, 0
+
     def reset_stalled_readers(self) -> None:
         """Reset connections whose client takes nothing of its responses."""
         now = self.loop.time()
--- a/flaxstep/proxy/client_requests.py
+++ b/flaxstep/proxy/client_requests.py
@@ -5,6 +5,7 @@
 import re
 from dataclasses import dataclass
 
+from flaxstep.proxy.block_buffer import BlockBuffer
 from flaxstep.proxy.config import Config
 from flaxstep.proxy.forwarded_messages import ForwardedRequest
 from flaxstep.proxy.identifiers import stable_id
@@ -18,6 +19,10 @@
     (b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
      b"expect", b"content-length", b"request-timeout")
 )  # fmt: skip
+_INTERPRETED_HEADERS = frozenset(
+    (b"request-id", b"tenant", b"idempotency-key", b"request-timeout", b"content-length",
+     b"transfer-encoding", b"work-hint", b"client-retry", b"expect")
+)  # fmt: skip
 
 
 @dataclass(slots=True, frozen=True)
@@ -66,7 +71,7 @@
     )  # fmt: skip
 
     def __init__(self) -> None:
-        self.forwarded_lines: list[bytes] = []
+        self.forwarded_lines = BlockBuffer()
         self.content_length = 0
         self.malformed = self.chunked = self.awaits_continue = self.complete = False
         self.request_id: bytes | None = None
@@ -78,6 +83,13 @@
     def add(self, name: bytes, value: bytes) -> None:
         """Interpret one header, and keep its line if it is to be forwarded."""
         lower_name = name.lower()
+        if lower_name in _INTERPRETED_HEADERS:
+            self.interpret(lower_name, value)
+        if lower_name not in _HEADERS_NOT_FORWARDED:
+            self.forwarded_lines.append(b"%b: %b\r\n" % (name, value))
+
+    def interpret(self, lower_name: bytes, value: bytes) -> None:
+        """Take over a header that the node uses."""
         if lower_name == b"request-id":
             self.malformed = self.malformed or self.request_id is not None
             self.request_id = value
@@ -106,8 +118,6 @@
             self.is_client_retry = value == b"1"
         elif lower_name == b"expect":
             self.awaits_continue = value.lower() == b"100-continue"
-        if lower_name not in _HEADERS_NOT_FORWARDED:
-            self.forwarded_lines.append(b"%b: %b\r\n" % (name, value))
 
 
 def validate_request(
--- a/flaxstep/proxy/connection_pool.py
+++ b/flaxstep/proxy/connection_pool.py
@@ -12,8 +12,8 @@
 from flaxstep.proxy.event_log import log_event
 from flaxstep.proxy.forwarded_messages import ForwardedRequest, ServerResponse
 from flaxstep.proxy.idle_limit import IdleLimit
+from flaxstep.proxy.memory_account import MemoryAccount
 from flaxstep.proxy.metrics import Metrics
-from flaxstep.proxy.request_bodies import BodyBudget
 from flaxstep.proxy.server_connections import Attempt, EndpointConnections, ServerConnection
 from flaxstep.proxy.wall_clock import now_ms
 from flaxstep.routing.interface import Result, State
@@ -55,7 +55,7 @@
         max_connections: int,
         handler: AttemptHandler,
         metrics: Metrics,
-        body_budget: BodyBudget,
+        account: MemoryAccount,
     ) -> None:
         self.loop = loop
         self.dial_timeout = dial_timeout
@@ -67,7 +67,7 @@
             handler.response_chunk,
         )
         self.metrics = metrics
-        self.body_budget = body_budget
+        self.account = account
         self.servers: dict[int, EndpointConnections] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.connections: set[ServerConnection] = set()
@@ -183,6 +183,7 @@
             return
         self.pending_connects += 1
         connection = ServerConnection(self, server)
+        self.account.update(connection)
         try:
             async with asyncio.timeout(min(self.dial_timeout, attempt.send_before - now_ms()) / 1000):
                 await self.loop.create_connection(lambda: connection, *server.address)
@@ -191,6 +192,9 @@
             return
         finally:
             self.pending_connects -= 1
+            self.account.remove(
+                connection
+            )  # until it sends: a connection that is cancelled now is never lost
         attempt.connection_wait = None
         # The server may have started to drain meanwhile, or have restarted at another address.
         changed = attempt.version != server.version
--- a/flaxstep/proxy/discovery.py
+++ b/flaxstep/proxy/discovery.py
@@ -14,6 +14,12 @@
 
 from flaxstep.proxy.config import Address
 from flaxstep.proxy.header_limit import HeaderLimit, HeadersTooLong
+from flaxstep.proxy.memory_account import (
+    LIST_BYTES_PER_BYTE,
+    MAX_LIST_BYTES,
+    CountedHolder,
+    MemoryAccount,
+)
 from flaxstep.proxy.wall_clock import now_ms
 from flaxstep.routing.interface import Reach
 
@@ -33,7 +39,6 @@
 MIN_RETRY_DELAY_S, MAX_RETRY_DELAY_S = 0.05, 1.0
 # The maximum if lists are pushed and discovery does not respond: its changes count from its return on.
 MAX_RETRY_DELAY_PUSHED_S = 0.1
-MAX_LIST_BYTES = 8 << 20
 
 log = logging.getLogger("flaxstep.proxy")
 
@@ -72,6 +77,11 @@
     def has_partial_object(self) -> bool:
         return bool(self.complete_lines or self.partial_line)
 
+    @property
+    def partial_bytes(self) -> int:
+        """The length of what has come of an object that is not complete."""
+        return len(self.complete_lines) + len(self.partial_line)
+
     def feed(self, data: bytes) -> Iterator[Any]:
         """Yield the objects that these bytes complete; ValueError if they can't become valid JSON."""
         *lines, self.partial_line = (self.partial_line + data).split(b"\n")
@@ -104,9 +114,10 @@
 class ResponseBody:
     """Decodes the body of one HTTP response."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_bytes: int = MAX_LIST_BYTES) -> None:
         self.parser = httptools.HttpResponseParser(self)
         self.header_limit = HeaderLimit()
+        self.max_bytes = max_bytes
         self.data = bytearray()
         self.complete = False
 
@@ -143,8 +154,8 @@
             raise MalformedListError(str(error)) from None
         if self.parser.get_status_code() not in (0, 200):
             raise StatusError(f"status {self.parser.get_status_code()}")
-        if len(self.data) > MAX_LIST_BYTES:
-            raise MalformedListError("the response exceeds the size limit")
+        if len(self.data) > self.max_bytes:
+            raise MalformedListError(f"the response exceeds the limit of {self.max_bytes} bytes")
 
 
 class DiscoveryCall:
@@ -163,6 +174,7 @@
         self.partial_received = False  # the start of a list has been received
         self.answered_at_ms: float | None = None  # the time of the first list or empty line
         self.waiting_timer: asyncio.TimerHandle | None = None
+        self.held_text = CountedHolder(client.account, LIST_BYTES_PER_BYTE)
 
     async def run(self) -> None:
         """Make the call. DiscoveryError says how it ended, unless it returned the full list."""
@@ -180,6 +192,7 @@
         finally:
             if self.waiting_timer is not None:
                 self.waiting_timer.cancel()
+            self.client.account.remove(self.held_text)
             self.log_end(outcome)
 
     def reach_at_end(self, error: Exception) -> Reach:
@@ -231,16 +244,18 @@
             writer.close()
 
     async def read_full_list(self, reader: asyncio.StreamReader) -> None:
-        body = ResponseBody()
+        body = ResponseBody(self.client.account.max_list_bytes)
         while not body.complete:
             await body.read_more(reader, RESPONSE_TIMEOUT_S)
             self.partial_received = bool(body.data)
+            self.held_text.set_count(len(body.data))
         self.partial_received = False
         with self.wrap_malformed():
             self.apply_list(json.loads(body.data))
 
     async def read_watch(self, reader: asyncio.StreamReader) -> None:
-        body, objects, timeout_s = ResponseBody(), JsonObjectReader(), RESPONSE_TIMEOUT_S
+        max_bytes = self.client.account.max_list_bytes
+        body, objects, timeout_s = ResponseBody(max_bytes), JsonObjectReader(), RESPONSE_TIMEOUT_S
         while not body.complete:
             try:
                 await body.read_more(reader, timeout_s)
@@ -251,8 +266,9 @@
             with self.wrap_malformed():
                 for value in objects.feed(bytes(body.data)):
                     self.apply_list(value)
-            if len(objects.complete_lines) + len(objects.partial_line) > MAX_LIST_BYTES:
-                raise MalformedListError("a list exceeds the size limit")
+            self.held_text.set_count(objects.partial_bytes)
+            if objects.partial_bytes > max_bytes:
+                raise MalformedListError(f"a list exceeds the limit of {max_bytes} bytes")
             self.partial_received = objects.has_partial_object
             if objects.has_partial_object:
                 timeout_s = PARTIAL_LIST_TIMEOUT_S
@@ -312,8 +328,10 @@
         rng: random.Random,
         loop: asyncio.AbstractEventLoop,
         pushed: bool,
+        account: MemoryAccount,
     ) -> None:
         self.address = address
+        self.account = account
         self.pushed = pushed
         self.on_list = on_list
         self.on_reach = on_reach
--- a/flaxstep/proxy/endpoint_updates.py
+++ b/flaxstep/proxy/endpoint_updates.py
@@ -8,6 +8,7 @@
 
 from flaxstep.proxy.connection_pool import ServerPool
 from flaxstep.proxy.member_list import Endpoint, MemberList, MemberListReader
+from flaxstep.proxy.memory_account import CountedHolder
 from flaxstep.proxy.metrics import ServerMetrics
 from flaxstep.routing.interface import Event, ListKind, ServerList, State
 
@@ -28,12 +29,15 @@
         pool: ServerPool,
         server_metrics: ServerMetrics,
         dispatch_event: Callable[[Event], None],
+        held_endpoints: CountedHolder,
     ) -> None:
         self.reader = reader
         self.pool = pool
         self.server_metrics = server_metrics
         self.dispatch_event = dispatch_event
         self.listed: set[int] = set()
+        self.held_endpoints = held_endpoints  # beyond those that count as memory at rest
+        self.resting_count = 0
 
     def apply(self, raw: Any, kind: ListKind | None) -> int | None:
         """Apply a list and return its version. ValueError, and no change, if it is no list.
@@ -66,10 +70,16 @@
             else:
                 self.listed.add(endpoint.entry.id)
                 self.server_metrics.add_server(endpoint.entry.id, endpoint.name, endpoint.started_at)
+        self.held_endpoints.set_count(max(0, len(self.listed) - self.resting_count))
         if endpoints or members.kind is not ListKind.DELTA:
             self.log_list(members)
         return members.version
 
+    def on_resting_memory_measured(self) -> None:
+        """The endpoints that are listed now count as memory at rest."""
+        self.resting_count = len(self.listed)
+        self.held_endpoints.set_count(0)
+
     def update_endpoint(self, endpoint: Endpoint) -> None:
         """Update one endpoint in the pool."""
         entry = endpoint.entry
--- a/flaxstep/proxy/forwarded_messages.py
+++ b/flaxstep/proxy/forwarded_messages.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from flaxstep.proxy.block_buffer import BlockBuffer
 from flaxstep.proxy.request_bodies import Upload
 
 
@@ -21,13 +22,17 @@
     """A request as it is forwarded, without its Request-Timeout header: each attempt writes its own."""
 
     head: bytes  # request line and header lines, without Content-Length and Transfer-Encoding
-    body: bytes
+    body: BlockBuffer
     has_body: bool = False  # the body may be empty
     upload: Upload | None = None  # streams the body, if it is not buffered as a whole
     request_id: bytes = b""  # the client's Request-Id
     timeout_ms: float = math.inf  # given by the client
     source: RequestSource | None = None  # set once it is served
 
+    def count_held_bytes(self) -> int:
+        """The bytes that are kept of it, for a retry too."""
+        return len(self.head) + self.body.count_held_bytes()
+
 
 @dataclass(slots=True)
 class ServerResponse:
--- a/flaxstep/proxy/incoming_request.py
+++ b/flaxstep/proxy/incoming_request.py
@@ -4,6 +4,7 @@
 
 import re
 
+from flaxstep.proxy.block_buffer import BlockBuffer
 from flaxstep.proxy.client_requests import (
     BadRequest,
     ClientRequest,
@@ -30,7 +31,7 @@
     def __init__(self) -> None:
         self.target = b""
         self.headers = RequestHeaders()
-        self.body = bytearray()  # what is buffered of it
+        self.body = BlockBuffer()  # what is buffered of it
         self.body_bytes_received = 0
 
     def add_target(self, part: bytes) -> None:
@@ -61,11 +62,16 @@
         if self.body_bytes_received > MAX_REQUEST_BODY_BYTES:
             raise BadRequest(413)
 
-    def take_body(self) -> bytes:
+    def take_body(self) -> BlockBuffer:
         """Return what is buffered of the body, and keep none of it."""
-        body, self.body = bytes(self.body), bytearray()
+        body, self.body = self.body, BlockBuffer()
         return body
 
+    def count_held_bytes(self) -> int:
+        """The bytes that are kept of the request."""
+        buffers = self.headers.forwarded_lines.count_held_bytes() + self.body.count_held_bytes()
+        return len(self.target) + buffers
+
     def framing_header(self) -> bytes:
         """The header line that says how the body is framed; empty without a body."""
         if self.headers.chunked:
@@ -86,7 +92,7 @@
         cls, tenant, key = validate_request(config, parser, target, headers)
         if headers.timeout_ms is None or ((self.body or headers.content_length) and method == b"GET"):
             raise BadRequest(400)
-        head = b"%b %b HTTP/1.1\r\n%b" % (method, target, b"".join(headers.forwarded_lines))
+        head = b"%b %b HTTP/1.1\r\n%b" % (method, target, bytes(headers.forwarded_lines))
         return ClientRequest(
             message=ForwardedRequest(
                 head, self.take_body(), method == b"POST", request_id=headers.request_id or b""
--- a/flaxstep/proxy/main.py
+++ b/flaxstep/proxy/main.py
@@ -58,6 +58,7 @@
     node = Node(config, loop)
     loop.add_signal_handler(signal.SIGHUP, ConfigReloader(node, os.environ["ROUTER_CONFIG"]).on_signal)
     gc.collect()
+    node.measure_resting_memory()
     gc.freeze()  # objects created so far stay: exempt them from later collections
     start_task, stop_task = loop.create_task(node.start()), loop.create_task(stop_requested.wait())
     await asyncio.wait({start_task, stop_task}, return_when=asyncio.FIRST_COMPLETED)
--- a/flaxstep/proxy/node.py
+++ b/flaxstep/proxy/node.py
@@ -31,8 +31,14 @@
 from flaxstep.proxy.forwarded_messages import ForwardedRequest, ServerResponse
 from flaxstep.proxy.identifiers import stable_id
 from flaxstep.proxy.member_list import MemberListReader
+from flaxstep.proxy.memory_account import (
+    ENDPOINT_BYTES,
+    CountedHolder,
+    MemoryAccount,
+    read_resident_bytes,
+)
 from flaxstep.proxy.metrics import Metrics, ServerMetrics
-from flaxstep.proxy.request_bodies import MAX_REQUEST_BODY_BYTES, BodyBudget
+from flaxstep.proxy.request_bodies import MAX_REQUEST_BODY_BYTES
 from flaxstep.proxy.server_connections import Attempt
 from flaxstep.proxy.wall_clock import WallClock, now_ms
 from flaxstep.routing import Policy
@@ -67,7 +73,6 @@
 MAX_UPLOAD_MS = 1000 * MAX_REQUEST_BODY_BYTES / MIN_UPLOAD_BYTES_PER_S
 # For listeners, discovery, files, admin connections, and connections that are closing.
 RESERVED_DESCRIPTORS = 64
-BODY_MEMORY_DIVISOR = 8  # buffered bodies may use one eighth of the memory limit
 CACHED_LIST_WAIT_S = 1.0  # for discovery, if the node has a list from before its restart
 MAX_STARTUP_WAIT_S = 5.0  # the node reports that it is ready after this, even without discovery
 ACCEPT_AFTER_SIGTERM_S = 0.6  # new connections are accepted for this long
@@ -130,7 +135,7 @@
         clients, servers = connection_limits(config.sockets)
         self.metrics = Metrics(name.decode("latin-1") for name in config.classes)
         self.server_metrics = ServerMetrics(self.metrics.classes)
-        self.body_budget = BodyBudget((config.memory_mb << 20) // BODY_MEMORY_DIVISOR)
+        self.account = MemoryAccount(config.memory_mb << 20)
         self.pool = ServerPool(
             loop,
             config.dial_timeout_ms,
@@ -138,14 +143,15 @@
             servers,
             self,
             self.metrics,
-            self.body_budget,
+            self.account,
         )
-        self.listener = Listener(loop, config, self, clients, self.body_budget)
+        self.listener = Listener(loop, config, self, clients, self.account)
         self.endpoint_updates = EndpointUpdates(
             MemberListReader(config.zones, config.kinds, self.clock, stable_id),
             self.pool,
             self.server_metrics,
             self.dispatch_event,
+            CountedHolder(self.account, ENDPOINT_BYTES),
         )
         self.discovery = Discovery(
             config.discovery,
@@ -154,6 +160,7 @@
             random.Random(config.seed),
             loop,
             pushed=not config.settings.ask_for_list,
+            account=self.account,
         )
         self.action_handlers: dict[type[Action], Callable[[Any], None]] = {
             Send: self.send_attempt,
@@ -176,6 +183,13 @@
             except ValueError as error:
                 log.warning("the server list in the configuration is malformed: %s", error)
 
+    def measure_resting_memory(self) -> None:
+        """Size the account by what the process takes now, with the list that it has."""
+        resting_bytes = read_resident_bytes()
+        if resting_bytes:
+            self.account.resting_bytes = resting_bytes
+            self.endpoint_updates.on_resting_memory_measured()
+
     # Events to the policy, and its actions.
 
     def dispatch_event(self, event: Event) -> None:
@@ -487,7 +501,7 @@
     def update_limits(self) -> None:
         """Set the memory and connection limits: with two processes, each uses half of the node's."""
         process_count = 2 if self.shared_state.others_running else 1
-        self.body_budget.total_bytes = (self.config.memory_mb << 20) // BODY_MEMORY_DIVISOR // process_count
+        self.account.process_count = process_count
         clients, servers = connection_limits(self.config.sockets // process_count)
         self.listener.set_limit(clients)
         self.pool.set_limit(servers)
--- a/flaxstep/proxy/request_bodies.py
+++ b/flaxstep/proxy/request_bodies.py
@@ -1,34 +1,17 @@
-"""The memory budget for bodies, and the forwarding of a request's body while it arrives."""
+"""The forwarding of a request's body while it arrives."""
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Protocol
 
+from flaxstep.proxy.block_buffer import BlockBuffer
+from flaxstep.proxy.memory_account import MemoryAccount
+
 BUFFERED_BODY_BYTES = 65536  # up to this size a body is buffered whole
-MIN_BODY_SHARE_BYTES = 4096  # bodies up to this size are not counted in the budget
 MAX_REQUEST_BODY_BYTES = 32 << 20  # larger requests are rejected
 
 
-class BodyBudget:
-    """The memory budget that the bodies of all connections share: the more bodies, the less of each."""
-
-    def __init__(self, total_bytes: int) -> None:
-        self.total_bytes = total_bytes
-        self.body_count = 0
-        self.buffer = bytearray(BUFFERED_BODY_BYTES)  # all connections read into it, one after the other
-
-    @property
-    def share_bytes(self) -> int:
-        """Bytes of one body that may be buffered."""
-        return min(
-            max(self.total_bytes // max(self.body_count, 1), MIN_BODY_SHARE_BYTES), BUFFERED_BODY_BYTES
-        )
-
-    def read_buffer(self, max_bytes: int = BUFFERED_BODY_BYTES) -> memoryview:
-        """The part of the shared buffer for one read: no read exceeds the share of a body, or `max_bytes`."""
-        return memoryview(self.buffer)[: min(self.share_bytes, max_bytes)]
-
-
 class UploadSource(Protocol):
     """The connection of the client that sends a body."""
 
@@ -39,8 +22,8 @@
 class UploadSink(Protocol):
     """The connection to the server that receives a body."""
 
-    def write_chunk(self, data: bytes) -> None:
-        """Write a part of the body."""
+    def write_part(self, blocks: Sequence[bytearray], size: int) -> None:
+        """Write a part of the body, of this size in all."""
 
     def finish_body(self) -> None:
         """Write the end of the body: all of it has been written."""
@@ -57,13 +40,12 @@
     """
 
     def __init__(
-        self, source: UploadSource, body_budget: BodyBudget, length: int | None, first_part: bytes
+        self, source: UploadSource, account: MemoryAccount, length: int | None, first_part: BlockBuffer
     ) -> None:
         self.source = source
-        self.body_budget = body_budget
+        self.account = account
         self.length = length  # Content-Length; None: chunked
-        # What has arrived and is not forwarded yet. One array, as chunks may be of one byte each.
-        self.buffered = bytearray(first_part)
+        self.buffered = first_part  # what has arrived and is not forwarded yet
         self.sink: UploadSink | None = None
         self.partly_sent = False
         # Whether the last byte has arrived, and whether what still arrives is discarded.
@@ -74,15 +56,15 @@
     def feed(self, data: bytes) -> None:
         """Buffer a part of the body that has arrived, until `flush` or `finish`."""
         if not self.discarding:
-            self.buffered += data
+            self.buffered.append(data)
 
     def flush(self) -> None:
         """Forward what is buffered if a server is attached, else pause the source at the share of a body."""
         if self.sink is not None:
             if self.buffered:
-                data, self.buffered = bytes(self.buffered), bytearray()
-                self.sink.write_chunk(data)
-        elif len(self.buffered) >= self.body_budget.share_bytes and not self.complete:
+                size = len(self.buffered)
+                self.sink.write_part(self.buffered.take_blocks(), size)
+        elif len(self.buffered) >= self.account.share_bytes and not self.complete:
             self.source.pause_upload(True)
 
     def finish(self) -> None:
@@ -108,12 +90,12 @@
     def discard_rest(self) -> None:
         """Read and discard what still arrives, because the response has been sent."""
         self.discarding, self.response_sent, self.sink = True, True, None
-        self.buffered = bytearray()
+        self.buffered = BlockBuffer()
         self.source.pause_upload(False)
 
     def abort(self) -> None:
         """Abort the attempt on the attached server, as the client sends no more of the body."""
         sink, self.discarding, self.sink = self.sink, True, None
-        self.buffered = bytearray()
+        self.buffered = BlockBuffer()
         if sink is not None and not self.complete:
             sink.abort_body()
--- a/flaxstep/proxy/request_parser.py
+++ b/flaxstep/proxy/request_parser.py
@@ -88,6 +88,11 @@
         """Parse no more. It and its receiver refer to each other, and would wait for the collector."""
         del self.library_parser, self.receiver
 
+    @property
+    def unfinished_line_bytes(self) -> int:
+        """What the library keeps of a line whose end has not come."""
+        return self.header_limit.unfinished_bytes
+
     def get_method(self) -> bytes:
         """The method of the current request."""
         return self.library_parser.get_method()
--- a/flaxstep/proxy/server_connections.py
+++ b/flaxstep/proxy/server_connections.py
@@ -4,20 +4,23 @@
 
 import asyncio
 import logging
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Protocol, cast
 
 import httptools
 
+from flaxstep.proxy.block_buffer import BlockBuffer
 from flaxstep.proxy.config import Address
 from flaxstep.proxy.connection_close import abort_immediately, poll_unread_input
 from flaxstep.proxy.event_log import log_event
 from flaxstep.proxy.forwarded_messages import ForwardedRequest, ServerResponse
 from flaxstep.proxy.header_limit import HeaderLimit, HeadersTooLong
 from flaxstep.proxy.idle_limit import IdleLimit
+from flaxstep.proxy.memory_account import SERVER_CONNECTION_BYTES, MemoryAccount
 from flaxstep.proxy.metrics import Metrics
 from flaxstep.proxy.read_turns import TurnLimitedProtocol
-from flaxstep.proxy.request_bodies import BUFFERED_BODY_BYTES, MIN_BODY_SHARE_BYTES, BodyBudget
+from flaxstep.proxy.request_bodies import BUFFERED_BODY_BYTES
 from flaxstep.proxy.wall_clock import now_ms
 from flaxstep.routing.interface import Result, State
 
@@ -74,7 +77,7 @@
 
     loop: asyncio.AbstractEventLoop
     metrics: Metrics
-    body_budget: BodyBudget
+    account: MemoryAccount
     idle_limit: IdleLimit
     connections: set[ServerConnection]
 
@@ -105,11 +108,10 @@
         self.idle_before_ms: float | None = None  # None: its first attempt
         self.parser = httptools.HttpResponseParser(self)
         self.header_limit = HeaderLimit()
-        self.buffered_body: list[bytes] = []  # chunks not yet passed on
+        self.buffered_body = BlockBuffer()  # not yet passed on
         self.body_size = 0
         self.content_length: int | None = None  # None: not given by the server
         self.transfer_coding = b""
-        self.counted_in_budget = False  # as one of the bodies that share body_budget
         self.not_started = False
         self.content_type = b""
         self.head_received = False  # of the final response, not of an interim one
@@ -120,6 +122,7 @@
         self.read_size = 0  # of the buffer for the read that comes next
         self.keep_alive = False
         self.unexpected_bytes = False  # received after the end of the response
+        self.connected = False  # once; a connection that is being opened is held too
         self.unsized_body_timer: asyncio.TimerHandle | None = None
         self.write_timer: asyncio.TimerHandle | None = None
 
@@ -128,9 +131,11 @@
         self.transport = cast(asyncio.Transport, transport)
         self.descriptor: int = transport.get_extra_info("socket").fileno()
         self.socket_poll = poll_unread_input(self.descriptor)
+        self.connected = True
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.pool.connections.discard(self)
+        self.pool.account.remove(self)
         if self in self.server.idle:
             self.server.idle.remove(self)
         if self.attempt is not None:
@@ -180,10 +185,7 @@
             if timer is not None:
                 timer.cancel()
         self.unsized_body_timer = self.write_timer = None
-        self.buffered_body.clear()
-        if self.counted_in_budget:
-            self.counted_in_budget = False
-            self.pool.body_budget.body_count -= 1
+        self.buffered_body = BlockBuffer()
         if self.reading_paused:
             # The client of this attempt reads slowly; the response to the next one must be read all the same.
             self.pause_reading_response(False)
@@ -219,12 +221,27 @@
             length_header = b"Content-Length: %d\r\n" % upload.length
         head = b"%b%bRequest-Timeout: %dm\r\n\r\n" % (message.head, length_header, timeout_ms)
         if upload is None:
-            self.transport.write(head + message.body)
+            self.transport.writelines([head, *message.body.blocks])
             self.on_request_written()
         else:
             self.transport.write(head)
             self.transport.set_write_buffer_limits(0)  # buffer no body here: pause the client instead
             upload.attach(self)
+        self.update_account()
+
+    def update_account(self) -> None:
+        """Tell the account what this connection holds, while it is open."""
+        if not self.transport.is_closing():
+            self.pool.account.update(self)
+
+    def count_held_bytes(self) -> int:
+        """What the process holds for the server: of the request what it has not taken, of its response."""
+        unsent_bytes = self.transport.get_write_buffer_size() if self.connected else 0
+        return SERVER_CONNECTION_BYTES + self.buffered_body.count_held_bytes() + unsent_bytes
+
+    def release_memory(self) -> bool:
+        """Nothing: an attempt may have run, and its client waits for what has come of the response."""
+        return False
 
     def on_request_written(self) -> None:
         assert self.attempt is not None
@@ -233,10 +250,12 @@
             self.attempt.started = now_ms()  # the server can't start before this
         self.pool.metrics.forwards += 1
 
-    def write_chunk(self, data: bytes) -> None:
+    def write_part(self, blocks: Sequence[bytearray], size: int) -> None:
         assert self.attempt is not None and self.attempt.message.upload is not None
-        chunked = self.attempt.message.upload.length is None
-        self.transport.write(b"%x\r\n%b\r\n" % (len(data), data) if chunked else data)
+        if self.attempt.message.upload.length is None:
+            self.transport.writelines([b"%x\r\n" % size, *blocks, b"\r\n"])
+        else:
+            self.transport.writelines(blocks)
 
     def finish_body(self) -> None:
         assert self.attempt is not None and self.attempt.message.upload is not None
@@ -271,19 +290,24 @@
         return self.reading_paused
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        buffer = self.pool.body_budget.read_buffer()
+        buffer = self.pool.account.read_buffer()
         self.read_size = len(buffer)
         return buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         if nbytes == self.read_size:
             self.end_turn(self.pool.loop)
+        self.take_input(nbytes)
+        self.update_account()
+
+    def take_input(self, nbytes: int) -> None:
+        """Parse the bytes that were read, and pass on what has come of a streamed response."""
         if self.attempt is None:  # with no request sent, these bytes could be taken for the next response
             self.close("bytes_unasked")
             return
         self.bytes_received += nbytes
         self.last_read_ms = now_ms()
-        buffer = self.pool.body_budget.buffer
+        buffer = self.pool.account.read_memory
         try:
             self.parser.feed_data(memoryview(buffer)[:nbytes])
             self.header_limit.check_unfinished_line(buffer, nbytes)
@@ -297,6 +321,7 @@
         except httptools.HttpParserUpgrade:
             self.fail_malformed("protocol upgrade")
             return
+        self.flush_response()
         if self.response_complete and self.attempt is not None:
             self.finish_response()
 
@@ -313,7 +338,7 @@
         assert self.attempt is not None
         # If the transport still holds bytes of the request, the next one would wait behind them.
         request_sent = self.attempt.request_written and not self.transport.get_write_buffer_size()
-        body = b"".join(self.buffered_body)
+        body = bytes(self.buffered_body)
         attempt = self.detach_attempt()
         assert attempt is not None
         self.record_idle_use(reset=False)
@@ -347,18 +372,14 @@
         attempt.streaming = True
         if attempt.timeout_timer is not None:
             attempt.timeout_timer.cancel()
-        self.count_in_budget()
         self.pool.on_response_started(attempt, self.content_length, self.content_type)
-        chunks, self.buffered_body = self.buffered_body, []
-        for chunk in chunks:
-            if self.attempt is attempt:
-                self.pool.on_response_chunk(attempt, chunk)
+        self.flush_response()
 
-    def count_in_budget(self) -> None:
-        """Count the response body once among those that share the memory budget."""
-        if not self.counted_in_budget:
-            self.counted_in_budget = True
-            self.pool.body_budget.body_count += 1
+    def flush_response(self) -> None:
+        """Pass on what has arrived of a response that is streamed to its client."""
+        if self.attempt is not None and self.attempt.streaming and self.buffered_body:
+            chunk = b"".join(self.buffered_body.take_blocks())
+            self.pool.on_response_chunk(self.attempt, chunk)
 
     # Callbacks of the HTTP parser.
 
@@ -367,7 +388,7 @@
         if self.response_complete:
             self.unexpected_bytes = True
             return
-        self.buffered_body.clear()
+        self.buffered_body = BlockBuffer()
         self.body_size, self.content_length, self.transfer_coding = 0, None, b""
         self.not_started = False
         self.content_type = b""
@@ -417,14 +438,10 @@
             if self.body_size > BUFFERED_BODY_BYTES:
                 self.keep_alive = False
                 self.finish_response()
-        elif attempt.streaming:
-            self.pool.on_response_chunk(attempt, body)
-        else:
-            self.buffered_body.append(body)
-            if self.body_size > MIN_BODY_SHARE_BYTES:
-                self.count_in_budget()
-            if self.body_size > self.pool.body_budget.share_bytes:
-                self.begin_streaming()
+            return
+        self.buffered_body.append(body)
+        if not attempt.streaming and self.body_size > self.pool.account.share_bytes:
+            self.begin_streaming()
 
     def on_message_complete(self) -> None:
         self.header_limit.on_message_complete()
--- a/tests/net.py
+++ b/tests/net.py
@@ -5,12 +5,16 @@
 import asyncio
 import json
 import re
+from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from typing import Any
 
+from flaxstep.proxy.client_connections import ClientConnection
 from flaxstep.proxy.config import Config
+from flaxstep.proxy.memory_account import CLIENT_CONNECTION_BYTES, ENDPOINT_BYTES, SERVER_CONNECTION_BYTES
 from flaxstep.proxy.node import Node
+from flaxstep.proxy.server_connections import ServerConnection
 from flaxstep.routing.interface import Effect, Outcome, RequestClass, Settings
 
 OK_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
@@ -264,6 +268,15 @@
 
         node.policy.handle = record_event  # type: ignore[method-assign]
 
+    @property
+    def held_beyond_connections(self) -> int:
+        """The bytes in the node's account but for those that each open connection costs."""
+        kinds = Counter(type(holder) for holder in self.node.account.holdings)
+        connection_bytes = kinds[ClientConnection] * CLIENT_CONNECTION_BYTES
+        connection_bytes += kinds[ServerConnection] * SERVER_CONNECTION_BYTES
+        endpoint_bytes = len(self.node.endpoint_updates.listed) * ENDPOINT_BYTES
+        return self.node.account.held_bytes - connection_bytes - endpoint_bytes
+
     async def next_event(self, kind: type) -> Any:
         """Waits for the next event of this type and returns it."""
         async with asyncio.timeout(TIMEOUT_S):
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -18,7 +18,16 @@
 )
 from flaxstep.proxy.connection_close import reset_connection
 from flaxstep.proxy.identifiers import stable_id
-from flaxstep.proxy.request_bodies import BUFFERED_BODY_BYTES, MIN_BODY_SHARE_BYTES, BodyBudget
+from flaxstep.proxy.memory_account import (
+    BODY_PART_DENOMINATOR,
+    BODY_PART_NUMERATOR,
+    MAX_SHARE_BYTES,
+    MIN_SHARE_BYTES,
+    SHARE_DIVISOR,
+    CountedHolder,
+    MemoryAccount,
+)
+from flaxstep.proxy.request_bodies import BUFFERED_BODY_BYTES
 from flaxstep.proxy.wall_clock import now_ms
 from flaxstep.routing.interface import Began, Outcome, Request, Result, Uploaded
 from tests.net import (
@@ -123,7 +132,7 @@
             due = (await fixture.next_event(Uploaded)).due  # the timeout starts at the last byte
             assert 0 < due - now_ms() < 8000.0
             assert (await fixture.next_outcome()).result == Result.OK
-            assert fixture.node.body_budget.body_count == 0 and not fixture.node.pending_requests
+            assert fixture.held_beyond_connections == 0 and not fixture.node.pending_requests
             assert (await client.send_request(b"GET /_health HTTP/1.1\r\n\r\n"))[
                 0
             ] == 200  # the connection stays open
@@ -173,7 +182,7 @@
             outcome = await fixture.next_outcome()
             assert (outcome.result, outcome.over) == (Result.OK, True)
             assert (
-                fixture.node.body_budget.body_count == 0
+                fixture.held_beyond_connections == 0
                 and not fixture.node.pending_requests
                 and not fixture.node.pool.attempts
             )
@@ -251,7 +260,7 @@
                 statistics["outstanding"],
                 statistics["forwards"],
             ) == (1, 0, 1)
-            assert not fixture.node.pending_requests and fixture.node.body_budget.body_count == 0
+            assert not fixture.node.pending_requests and fixture.held_beyond_connections == 0
 
     run(test())
 
@@ -332,7 +341,7 @@
             # The node reads and discards the rest.
             await wait_until(lambda: client.writer.transport.get_write_buffer_size() == 0)
             assert (await client.send_request(b"GET /_health HTTP/1.1\r\n\r\n"))[0] == 200
-            assert fixture.node.body_budget.body_count == 0
+            assert fixture.held_beyond_connections == 0
 
     run(test())
 
@@ -387,7 +396,7 @@
             assert (
                 not fixture.node.pending_requests
                 and not fixture.node.pool.attempts
-                and fixture.node.body_budget.body_count == 0
+                and fixture.held_beyond_connections == 0
             )
             record = fixture.node.policy.endpoints[stable_id(b"s-1")]
             assert not any(health.failure_share for health in record.health)
@@ -549,20 +558,15 @@
     run(test())
 
 
-def test_body_share_shrinks_with_number_of_bodies() -> None:
-    body_budget = BodyBudget(1 << 20)
-    shares = []
-    for bodies in (0, 1, 16, 32, 1000):
-        body_budget.body_count = bodies
-        shares.append(body_budget.share_bytes)
-        assert len(body_budget.read_buffer()) == body_budget.share_bytes
-    assert shares == [
-        BUFFERED_BODY_BYTES,
-        BUFFERED_BODY_BYTES,
-        BUFFERED_BODY_BYTES,
-        32768,
-        MIN_BODY_SHARE_BYTES,
-    ]
+def test_body_share_shrinks_as_the_account_fills_up() -> None:
+    account = MemoryAccount(32 << 20)
+    holder, shares = CountedHolder(account, 1), []
+    for_bodies = account.total_bytes * BODY_PART_NUMERATOR // BODY_PART_DENOMINATOR
+    for left in (for_bodies, SHARE_DIVISOR * MAX_SHARE_BYTES, SHARE_DIVISOR * 30_000, 1000, 0, -5000):
+        holder.set_count(for_bodies - left)
+        shares.append(account.share_bytes)
+        assert len(account.read_buffer()) == account.share_bytes
+    assert shares == [MAX_SHARE_BYTES, MAX_SHARE_BYTES, 30_000] + [MIN_SHARE_BYTES] * 3
 
 
 def test_many_concurrent_bodies_stay_within_budget() -> None:
@@ -570,7 +574,7 @@
 
     async def test() -> None:
         server = await FakeServer().start()
-        async with run_node(server, memory_mb=8) as fixture:  # a budget of 1 MiB
+        async with run_node(server, memory_mb=16) as fixture:  # an account of 1 MiB
             senders = [await fixture.connect_client() for _ in range(60)]
             data = build_request("pay", body=bytes(60_000))
             for sender in senders:
@@ -581,14 +585,14 @@
                 whole = sum(len(connection.incoming.body) for connection in connections)
                 return whole + sum(len(c.upload.buffered) for c in connections if c.upload is not None)
 
-            await wait_until(lambda: fixture.node.body_budget.body_count == 60)
+            await wait_until(lambda: fixture.node.account.share_bytes < 20_000)
             await asyncio.sleep(0.1)
-            assert buffered_bytes() < 4 << 20 and fixture.node.body_budget.share_bytes < 20_000
+            assert buffered_bytes() <= 1 << 20 and fixture.node.account.held_bytes <= 1 << 20
             for sender in senders:
                 sender.writer.write(data[-1:])
             for sender in senders:
                 assert (await sender.read_response())[0] in (200, 503)
-            assert fixture.node.body_budget.body_count == 0
+            assert fixture.held_beyond_connections == 0
 
     run(test())
 
@@ -626,6 +630,6 @@
             client.writer.transport.abort()
             await asyncio.wait_for(server.closed_connections.get(), TIMEOUT_S)
             await wait_until(lambda: not fixture.node.pool.attempts and not fixture.node.pool.connections)
-            assert not fixture.node.pending_requests and fixture.node.body_budget.body_count == 0
+            assert not fixture.node.pending_requests and fixture.held_beyond_connections == 0
 
     run(test())
--- a/tests/test_paused_reads.py
+++ b/tests/test_paused_reads.py
@@ -160,6 +160,6 @@
             assert (await client.read_until_close()).endswith(FIRST_PART)
             client.writer.close()
             await wait_until(lambda: not fixture.node.listener.has_clients)
-            assert fixture.node.body_budget.body_count == 0
+            assert fixture.held_beyond_connections == 0
 
     run(test())
--- a/tests/test_protocol_upgrade.py
+++ b/tests/test_protocol_upgrade.py
@@ -55,7 +55,7 @@
             status, head, _ = await client.read_response()
             assert (status, bytes(server.body)) == (200, BODIES[body])
             assert (header_value(head, b"Connection") == b"close") == (offer == "last")
-            assert fixture.node.body_budget.body_count == 0 and not fixture.node.pending_requests
+            assert fixture.held_beyond_connections == 0 and not fixture.node.pending_requests
 
     run(test())
 
--- a/tests/test_reference_cycles.py
+++ b/tests/test_reference_cycles.py
@@ -101,5 +101,6 @@
                 gc.garbage.clear()
                 gc.enable()
             assert not left
+            assert fixture.held_beyond_connections == 0
 
     run(test())
--- a/tests/test_resting_connections.py
+++ b/tests/test_resting_connections.py
@@ -49,7 +49,7 @@
     # The shared read buffer and the node's other parts belong to no connection.
     shared = {
         id(part)
-        for part in (node, node.listener, node.pool, node.body_budget, node.loop, *node.pool.servers.values())
+        for part in (node, node.listener, node.pool, node.account, node.loop, *node.pool.servers.values())
     }
     pending: list[object] = [*node.listener.connections, *node.pool.connections]
     while pending:
