Share the turns of the loop among the connections that are busy

Callers saw: beside 340 clients whose bodies come in chunks of one byte 186 of 190 proper requests were never answered, though each connection had one read in a turn. Cause: a read of 64 KiB of such chunks takes 40 ms, and each of the 340 had one in each turn; and libuv accepts one connection in a turn, so new clients waited in the listener's queue (the node itself took 27 ms for a request once it had accepted it). Evidence: turns of 8 ms and more, 119 accepts a second; event=client_connected came up to 2 s after connect. Change: connections that have more to read wait in two queues, those that have used little first; in a turn as many go on as take 1 ms together, by the rate of their last read, and a read is no longer than half of it.

--- a/flaxstep/proxy/client_connections.py
+++ b/flaxstep/proxy/client_connections.py
@@ -34,7 +34,7 @@
     REQUEST_BYTES,
     MemoryAccount,
 )
-from flaxstep.proxy.read_turns import TurnLimitedProtocol
+from flaxstep.proxy.read_turns import TurnLimitedProtocol, TurnScheduler
 from flaxstep.proxy.request_bodies import BUFFERED_BODY_BYTES, Upload
 from flaxstep.proxy.request_parser import RequestParser, UnsupportedConnect
 from flaxstep.proxy.wall_clock import now_ms
@@ -88,6 +88,7 @@
     config: Config
     handler: RequestHandler
     account: MemoryAccount
+    turns: TurnScheduler
     idle: OrderedDict[ClientConnection, float]
     read_paused: dict[int, ClientConnection]
     receiving_first_request: OrderedDict[ClientConnection, float]
@@ -120,13 +121,14 @@
 
     def __init__(self, listener: ConnectionSupervisor) -> None:
         self.listener = listener
+        self.turns = listener.turns
         self.parser = RequestParser(self)
         # Requests that wait for their turn, each with whether to keep the connection open after its response.
         self.queued_requests: deque[tuple[ClientRequest | Rejection | HealthCheck, bool]] = deque()
         self.request_id = 0  # the node's number of the request that is being served; 0: none
         self.serving_request = self.serving_queue = False
         self.served_bytes = 0  # kept of the request that is being served, for a retry
-        self.next_turn_scheduled = False  # in which the next queued request is served
+        self.next_request_waits = False  # for the next turn, in which it is served
         self.keep_alive = True  # after the current response
         self.input_finished = False  # no further request is read, or the last response has been written
         self.output_finished = False  # no further response can be sent
@@ -145,7 +147,6 @@
         self.serving_upload = False  # the request that is being served still uploads its body
         self.response_chunked = False  # the current response is sent with chunked coding
         self.response_streaming = False  # a part of the current response has been sent
-        self.read_size = 0  # of the buffer for the read that comes next
         self.bytes_since_request = 0  # received since the end of the last complete request
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -263,17 +264,14 @@
     def get_buffer(self, sizehint: int) -> memoryview:
         receiving_body = self.receiving_request and self.incoming.headers.complete
         max_bytes = BUFFERED_BODY_BYTES if receiving_body or self.input_finished else HEAD_READ_BYTES
-        buffer = self.listener.account.read_buffer(max_bytes)
-        self.read_size = len(buffer)
-        return buffer
+        return self.limit_buffer(self.listener.account.read_buffer(max_bytes))
 
     def buffer_updated(self, nbytes: int) -> None:
         self.last_byte_at = self.listener.loop.time()
         buffer_filled = nbytes == self.read_size
         if buffer_filled:
-            self.end_turn(self.listener.loop)
             self.arrival_clock.on_read(now_ms(), nbytes, more_may_wait=True)
-        self.take_input(nbytes)
+        self.take_turn(nbytes)
         if not buffer_filled and not self.reading_blocked:
             self.on_caught_up()
         self.update_account()
@@ -537,7 +535,7 @@
 
     def serve_next_requests(self) -> None:
         """Serve the next queued request, and those behind it one in each turn of the loop."""
-        if self.serving_queue or self.next_turn_scheduled:
+        if self.serving_queue or self.next_request_waits:
             return  # called on a response that was sent at once, or while other connections have their turn
         self.serving_queue = True
         if self.can_serve_next():
@@ -547,8 +545,8 @@
             self.paused_for_queue = False  # also while one is served: its body may still be unread
             self.update_reading()
         if self.can_serve_next():
-            self.next_turn_scheduled = True
-            self.listener.loop.call_soon(self.serve_in_next_turn)
+            self.next_request_waits = True
+            self.end_turn()
         if (
             self.incoming.headers.awaits_continue
             and self.receiving_request
@@ -559,9 +557,11 @@
         ):
             self.send_continue()  # all earlier requests have their responses
 
-    def serve_in_next_turn(self) -> None:
-        self.next_turn_scheduled = False
-        self.serve_next_requests()
+    def begin_turn(self) -> None:
+        super().begin_turn()
+        if self.next_request_waits:
+            self.next_request_waits = False
+            self.serve_next_requests()
 
     def serve_next_request(self) -> None:
         """Serve the first queued request."""
--- a/flaxstep/proxy/client_listener.py
+++ b/flaxstep/proxy/client_listener.py
@@ -15,6 +15,7 @@
 from flaxstep.proxy.connection_close import WriteProgress, count_unsent_bytes
 from flaxstep.proxy.event_log import log_event
 from flaxstep.proxy.memory_account import MemoryAccount
+from flaxstep.proxy.read_turns import TurnScheduler
 
 MAX_ACCEPT_QUEUE = 4096  # the listen() backlog in connections; the kernel caps it at its own limit
 # From the opening of a connection to its first valid request. A client must be given up after at most 3 s.
@@ -43,9 +44,11 @@
         handler: RequestHandler,
         max_connections: int,
         account: MemoryAccount,
+        turns: TurnScheduler,
     ) -> None:
         self.loop = loop
         self.account = account
+        self.turns = turns
         self.config = config
         self.handler = handler
         self.max_connections = max_connections
--- a/flaxstep/proxy/connection_pool.py
+++ b/flaxstep/proxy/connection_pool.py
@@ -14,6 +14,7 @@
 from flaxstep.proxy.idle_limit import IdleLimit
 from flaxstep.proxy.memory_account import MemoryAccount
 from flaxstep.proxy.metrics import Metrics
+from flaxstep.proxy.read_turns import TurnScheduler
 from flaxstep.proxy.server_connections import Attempt, EndpointConnections, ServerConnection
 from flaxstep.proxy.wall_clock import now_ms
 from flaxstep.routing.interface import Result, State
@@ -56,6 +57,7 @@
         handler: AttemptHandler,
         metrics: Metrics,
         account: MemoryAccount,
+        turns: TurnScheduler,
     ) -> None:
         self.loop = loop
         self.dial_timeout = dial_timeout
@@ -68,6 +70,7 @@
         )
         self.metrics = metrics
         self.account = account
+        self.turns = turns
         self.servers: dict[int, EndpointConnections] = {}
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.connections: set[ServerConnection] = set()
--- a/flaxstep/proxy/node.py
+++ b/flaxstep/proxy/node.py
@@ -38,6 +38,7 @@
     read_resident_bytes,
 )
 from flaxstep.proxy.metrics import Metrics, ServerMetrics
+from flaxstep.proxy.read_turns import TurnScheduler
 from flaxstep.proxy.request_bodies import MAX_REQUEST_BODY_BYTES
 from flaxstep.proxy.server_connections import Attempt
 from flaxstep.proxy.wall_clock import WallClock, now_ms
@@ -136,6 +137,7 @@
         self.metrics = Metrics(name.decode("latin-1") for name in config.classes)
         self.server_metrics = ServerMetrics(self.metrics.classes)
         self.account = MemoryAccount(config.memory_mb << 20)
+        self.turns = TurnScheduler(loop)
         self.pool = ServerPool(
             loop,
             config.dial_timeout_ms,
@@ -144,8 +146,9 @@
             self,
             self.metrics,
             self.account,
+            self.turns,
         )
-        self.listener = Listener(loop, config, self, clients, self.account)
+        self.listener = Listener(loop, config, self, clients, self.account, self.turns)
         self.endpoint_updates = EndpointUpdates(
             MemberListReader(config.zones, config.kinds, self.clock, stable_id),
             self.pool,
--- a/flaxstep/proxy/server_connections.py
+++ b/flaxstep/proxy/server_connections.py
@@ -19,7 +19,7 @@
 from flaxstep.proxy.idle_limit import IdleLimit
 from flaxstep.proxy.memory_account import SERVER_CONNECTION_BYTES, MemoryAccount
 from flaxstep.proxy.metrics import Metrics
-from flaxstep.proxy.read_turns import TurnLimitedProtocol
+from flaxstep.proxy.read_turns import TurnLimitedProtocol, TurnScheduler
 from flaxstep.proxy.request_bodies import BUFFERED_BODY_BYTES
 from flaxstep.proxy.wall_clock import now_ms
 from flaxstep.routing.interface import Result, State
@@ -78,6 +78,7 @@
     loop: asyncio.AbstractEventLoop
     metrics: Metrics
     account: MemoryAccount
+    turns: TurnScheduler
     idle_limit: IdleLimit
     connections: set[ServerConnection]
 
@@ -101,6 +102,7 @@
 
     def __init__(self, pool: ConnectionPool, server: EndpointConnections) -> None:
         self.pool = pool
+        self.turns = pool.turns
         self.server = server
         self.version = server.version
         self.attempt: Attempt | None = None
@@ -119,7 +121,6 @@
         self.bytes_received = 0  # of the response
         self.last_read_ms = 0.0
         self.reading_paused = False  # while the client reads nothing
-        self.read_size = 0  # of the buffer for the read that comes next
         self.keep_alive = False
         self.unexpected_bytes = False  # received after the end of the response
         self.connected = False  # once; a connection that is being opened is held too
@@ -290,14 +291,10 @@
         return self.reading_paused
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        buffer = self.pool.account.read_buffer()
-        self.read_size = len(buffer)
-        return buffer
+        return self.limit_buffer(self.pool.account.read_buffer())
 
     def buffer_updated(self, nbytes: int) -> None:
-        if nbytes == self.read_size:
-            self.end_turn(self.pool.loop)
-        self.take_input(nbytes)
+        self.take_turn(nbytes)
         self.update_account()
 
     def take_input(self, nbytes: int) -> None:
