Search for memory to give up only when more is held; tests of a list without an end

Need: an account that is over its size with nothing to give up sorted all holders at each event. Change: a search that found too little is repeated once 64 KiB more are held, or less is.

--- a/flaxstep/proxy/memory_account.py
+++ b/flaxstep/proxy/memory_account.py
@@ -84,6 +84,7 @@
         self.held_bytes = 0
         self.released_count = 0  # times that a holder gave something up, since the last log line
         self.releasing = False
+        self.retry_above = 0  # held bytes, after holders could not give up enough
         self.read_memory = bytearray(MAX_SHARE_BYTES)  # all connections read into it, one after the other
 
     @property
@@ -118,12 +119,13 @@
         held_bytes = holder.count_held_bytes()
         self.held_bytes += held_bytes - self.holdings.get(holder, 0)
         self.holdings[holder] = held_bytes
-        if self.held_bytes > self.total_bytes and not self.releasing:
+        if self.held_bytes > max(self.total_bytes, self.retry_above) and not self.releasing:
             self.make_room()
 
     def remove(self, holder: MemoryHolder) -> None:
         """Forget a holder that holds nothing any more."""
         self.held_bytes -= self.holdings.pop(holder, 0)
+        self.retry_above = min(self.retry_above, self.held_bytes + MAX_SHARE_BYTES)
 
     def make_room(self) -> None:
         """Let those who hold most give up what they can, until the account is within its size."""
@@ -140,3 +142,5 @@
                     log_event("memory_released", held=held_bytes, left=self.holdings.get(holder, 0))
         finally:
             self.releasing = False
+        # A further search would find nothing before more is held, or less.
+        self.retry_above = self.held_bytes + MAX_SHARE_BYTES if self.is_exhausted else 0
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -98,10 +98,14 @@
 
 @asynccontextmanager
 async def limited_node(
-    folder: Path, servers: list[FakeServer], memory_mb: int = 32, sockets: int = 1024
+    folder: Path,
+    servers: list[FakeServer],
+    memory_mb: int = 32,
+    sockets: int = 1024,
+    discovery_type: type[FakeDiscovery] = FakeDiscovery,
 ) -> AsyncIterator[LimitedNode]:
     """Run a node with these limits whose list has these servers."""
-    discovery = await FakeDiscovery(
+    discovery = await discovery_type(
         [server.list_entry(f"s-{i}") for i, server in enumerate(servers, 1)]
     ).start()
     path = folder / "config.json"
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -115,6 +115,9 @@
             self.calls.append(call)
             answering = asyncio.ensure_future(self.script(self, call))
             closed = asyncio.ensure_future(reader.read())  # ends when the node closes the connection
+            closed.add_done_callback(
+                lambda task: task.cancelled() or task.exception()
+            )  # a reset is an end too
             self.tasks |= {answering, closed}
             await asyncio.wait({answering, closed}, return_when=asyncio.FIRST_COMPLETED)
             answering.cancel()
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import time
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
@@ -12,7 +13,7 @@
 import uvloop
 
 from tests.crowds import limited_node, read_any_status, resident_mb, start_servers
-from tests.net import OK_RESPONSE, FakeServer, RawClient, build_request
+from tests.net import OK_RESPONSE, FakeDiscovery, FakeServer, RawClient, build_request
 from tests.test_process import connect
 
 MEMORY_MB, DESCRIPTORS = 32, 1024  # TERMS: 32 to 192 MB, 256 to 1,024 descriptors
@@ -143,6 +144,41 @@
     uvloop.run(test())
 
 
+class EndlessDiscovery(FakeDiscovery):
+    """Sends a sound list first. Then each call gets a list without an end."""
+
+    async def serve_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.request_targets.empty():
+            await super().serve_connection(reader, writer)
+            return
+        with suppress(ConnectionError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            entries = json.dumps([FakeServer.list_entry(self, "s-9")] * 400).encode()  # type: ignore[arg-type]
+            part = b'{"generation":2,"reset":true,"instances":['
+            while True:
+                writer.write(b"%x\r\n%b\r\n" % (len(part), part))
+                await writer.drain()
+                part = entries[1:-1] + b","
+        writer.close()
+
+
+# Guards against: a list is read up to a fixed length, whatever memory the node has.
+@pytest.mark.parametrize("memory_mb", [32, 64])
+def test_list_without_an_end_is_given_up_within_the_memory_limit(memory_mb: int, tmp_path: Path) -> None:
+    async def test() -> None:
+        servers = await start_servers(respond)
+        async with limited_node(
+            tmp_path, servers, memory_mb, DESCRIPTORS, discovery_type=EndlessDiscovery
+        ) as node:
+            results = await node.send_proper_requests(PLAY_S)
+            assert node.peak_mb <= memory_mb
+            # Once what it can't read may name a server that leaves, the node may only refuse.
+            assert set(results.statuses) <= {200, 503} and results.late_count == 0
+
+    uvloop.run(test())
+
+
 # Guards against: what is imported and never used leaves too little of the least memory for clients.
 def test_node_at_rest_leaves_a_third_of_the_least_memory(tmp_path: Path) -> None:
     async def test() -> None:
