Tests of drains let the system choose the node's port; two more tests give each request an id

Cause: traced by what a stuck play knew: its node had ended with "Address already in use". The port was looked up, let go and given to another process of the machine meanwhile; its client then talked to another test's node. Change: the node listens on port 0 and the play reads the port from its log. Two tests sent one id several times (test_metrics.py failed with 503, as it has to).

--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -11,6 +11,7 @@
 import asyncio
 import json
 import os
+import re
 import signal
 import socket
 import struct
@@ -175,9 +176,6 @@
         for arrival_times in self.arrivals:
             self.peers.append(await FakeServer(self.record_arrivals(arrival_times)).start())
         self.catalog = await Catalog(script, self.initial_entries).start()
-        with socket.socket() as free:
-            free.bind(("127.0.0.1", 0))
-            self.port: int = free.getsockname()[1]
         self.configure(self.catalog.port, known)
         self.started_at = time.monotonic()
         self.node = await asyncio.create_subprocess_exec(
@@ -192,7 +190,7 @@
         raw = raw_config()
         raw["settings"] = raw["settings"] | {"Discovery": "push" if self.pushed else "ask"}
         raw["settings"]["Obligations"] = raw["settings"]["Obligations"] | {"DrainGrace": 500.0}
-        raw |= {"listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{discovery}"}
+        raw |= {"listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{discovery}"}
         if known:
             raw["known"] = {"generation": 1, "reset": True, "instances": self.initial_entries}
         self.path.write_text(json.dumps(raw))
@@ -211,6 +209,12 @@
         while line := await self.node.stderr.readline():
             self.log += line
 
+    @property
+    def port(self) -> int:
+        """Where the node listens; 0 until it does. The system chooses it, so that no other process has it."""
+        match = re.search(rb"listens on 127\.0\.0\.1:(\d+)", self.log)
+        return int(match[1]) if match else 0
+
     async def send_requests(self) -> None:
         """Wait until the node is ready, as a front-end balancer does, then send requests without pause."""
         while not self.ready_at:
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -13,7 +13,7 @@
 import uvloop
 
 from tests.crowds import limited_node, read_any_status, resident_mb, start_servers
-from tests.net import OK_RESPONSE, FakeDiscovery, FakeServer, RawClient, build_request
+from tests.net import OK_RESPONSE, FakeDiscovery, FakeServer, RawClient, build_request, repeat_requests
 from tests.test_process import connect
 
 MEMORY_MB, DESCRIPTORS = 32, 1024  # TERMS: 32 to 192 MB, 256 to 1,024 descriptors
@@ -90,7 +90,7 @@
     "very many fields": sends(b"POST /pay HTTP/1.1\r\n" + b"a:\r\n" * 3100),
     "many fields and a body": sends(long_request(60_000, b"a:b\r\n" * 2600) + b"b" * 59_000),
     "stop in a very long body": sends(long_request(2 << 20) + b"b" * (1 << 20)),
-    "many requests at once": sends(build_request("pay", "1200m", body=b"b" * 500) * 100),
+    "many requests at once": sends(repeat_requests(build_request("pay", "1200m", body=b"b" * 500), 100)),
     "long bodies and a long head": repeats_long_bodies,
     "answers read slowly": reads_slowly,
     "answers not read": reads_nothing,
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -17,6 +17,7 @@
     abort_connection,
     build_request,
     never_respond,
+    repeat_requests,
     respond_ok,
     respond_with,
     run_node,
@@ -105,7 +106,7 @@
         peer = await FakeServer(held_back).start()
         async with run_node(peer, admin=ADMIN_ADDRESS) as stand:
             client, leaver = await stand.connect_client(), await stand.connect_client()
-            client.writer.write(build_request() * 3)
+            client.writer.write(repeat_requests(build_request(), 3))
             leaver.writer.write(build_request())
             await wait_until(lambda: len(stand.node.pending_requests) == 2)
             assert (await stats(stand))["outstanding"] == 4
