Keep the account's sums ready, and write short messages in one piece

Cause: the account computed its size at each read and asked each holder at each event; a request looked for its client's departure twice within a millisecond; two buffers in a write cost more than a short copy. Change: the size and the share are kept and renewed when what is held changes, and an event that changes nothing ends at once; the look is good for a millisecond; up to 4 KiB a body is written with its head.

--- a/flaxstep/proxy/block_buffer.py
+++ b/flaxstep/proxy/block_buffer.py
@@ -24,6 +24,10 @@
     def append(self, data: bytes) -> None:
         """Add bytes at the end."""
         position, size = 0, len(data)
+        if not self.blocks and size <= BLOCK_BYTES:
+            self.blocks.append(bytearray(data))
+            self.size = size
+            return
         if self.blocks and (room := BLOCK_BYTES - len(self.blocks[-1])) > 0:
             self.blocks[-1] += data[:room]
             position = room
--- a/flaxstep/proxy/client_connections.py
+++ b/flaxstep/proxy/client_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import OrderedDict, deque
 from typing import Protocol, cast
 
@@ -33,9 +34,10 @@
     QUEUED_REQUEST_BYTES,
     REQUEST_BYTES,
     MemoryAccount,
+    MemoryHolder,
 )
 from flaxstep.proxy.read_turns import TurnLimitedProtocol, TurnScheduler
-from flaxstep.proxy.request_bodies import BUFFERED_BODY_BYTES, Upload
+from flaxstep.proxy.request_bodies import BUFFERED_BODY_BYTES, JOINED_BODY_BYTES, Upload
 from flaxstep.proxy.request_parser import RequestParser, UnsupportedConnect
 from flaxstep.proxy.wall_clock import now_ms
 
@@ -47,6 +49,7 @@
 REQUEST_TIMEOUT_S = 2.6
 # A body that arrives at this rate extends the timeouts of its request; slow clients send twice as fast.
 MIN_UPLOAD_BYTES_PER_S = 32768
+DEPARTURE_LOOK_INTERVAL_MS = 1.0  # a request and its first attempt begin within it
 REQUEST_TIMER_PAUSE_S = 0.1  # before a request is looked at again that was held up or is nearly overdue
 
 
@@ -116,7 +119,7 @@
         """Neither evict nor time out this connection, which is about to close."""
 
 
-class ClientConnection(TurnLimitedProtocol):
+class ClientConnection(TurnLimitedProtocol, MemoryHolder):
     """One connection of a client. Pipelined requests are served one after the other."""
 
     def __init__(self, listener: ConnectionSupervisor) -> None:
@@ -141,6 +144,7 @@
         self.request_started_at = self.last_byte_at = 0.0
         self.blocked_at: float | None = None  # loop time; reading is paused since then
         self.arrival_clock = ArrivalClock()
+        self.departure_looked_for_ms = -math.inf
         self.upload_held_up = False  # as reported to the handler
         self.incoming = IncomingRequest()  # empty between requests
         self.upload: Upload | None = None  # forwards the body that arrives, unless it is buffered whole
@@ -155,7 +159,7 @@
         self.descriptor: int = transport.get_extra_info("socket").fileno()
         self.transport.set_write_buffer_limits(MAX_UNSENT_BYTES)
         self.listener.on_connection_opened(self)
-        self.update_account()
+        self.listener.account.update(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.listener.on_connection_closed(self)
@@ -172,10 +176,17 @@
 
         The transport reports a close only once all bytes before it are read.
         """
-        if not self.transport.is_closing() and closed_by_peer(self.descriptor):
+        if self.transport.is_closing():
+            return True
+        now = now_ms()
+        if now - self.departure_looked_for_ms < DEPARTURE_LOOK_INTERVAL_MS:
+            return False
+        self.departure_looked_for_ms = now
+        if closed_by_peer(self.descriptor):
             self.abandon()
             self.transport.abort()
-        return self.transport.is_closing()
+            return True
+        return False
 
     def abandon(self) -> None:
         """Stop reading and writing, and withdraw the request that is being served."""
@@ -213,11 +224,6 @@
 
     # The memory that is held for the client.
 
-    def update_account(self) -> None:
-        """Tell the account what this connection holds, while it is open."""
-        if not self.transport.is_closing():
-            self.listener.account.update(self)
-
     def count_held_bytes(self) -> int:
         """What the process holds for the client: requests that arrive, wait or are served, and responses."""
         held_bytes = CLIENT_CONNECTION_BYTES + self.transport.get_write_buffer_size() + self.served_bytes
@@ -274,7 +280,7 @@
         self.take_turn(nbytes)
         if not buffer_filled and not self.reading_blocked:
             self.on_caught_up()
-        self.update_account()
+        self.listener.account.update(self)
 
     def take_input(self, nbytes: int) -> None:
         """Parse the bytes that were read, and serve what they complete."""
@@ -356,7 +362,7 @@
             return
         self.paused_for_upload = pause
         self.update_reading()
-        self.update_account()
+        self.listener.account.update(self)
         if pause:
             self.report_held_up_upload()
 
@@ -621,7 +627,10 @@
         if content_type:
             lines += b"Content-Type: %b\r\n" % content_type
         lines += b"\r\n" if keep_alive else b"Connection: close\r\n\r\n"
-        self.transport.writelines([lines, body])
+        if len(body) <= JOINED_BODY_BYTES:
+            self.transport.write(lines + body)
+        else:
+            self.transport.writelines([lines, body])
         self.on_response_sent(keep_alive)
 
     def keep_alive_after_response(self) -> bool:
@@ -681,14 +690,14 @@
         self.writing_paused = True
         self.log_flow("client_reads_slowly")
         self.listener.add_slow_reader(self)
-        self.update_account()
+        self.listener.account.update(self)
         if self.response_streaming:
             self.listener.handler.pause_response(self.request_id, True)
 
     def resume_writing(self) -> None:
         self.writing_paused = False
         self.log_flow("client_reads_again")
-        self.update_account()
+        self.listener.account.update(self)
         if self.response_streaming:
             self.listener.handler.pause_response(self.request_id, False)
         if (progress := self.listener.slow_readers.pop(self, None)) is not None:
@@ -712,7 +721,7 @@
         if self.serving_upload and self.upload is not None:
             self.upload.discard_rest()
         self.serving_upload = False
-        self.update_account()
+        self.listener.account.update(self)
         if not keep_alive:
             self.finish_connection()
             return
--- a/flaxstep/proxy/connection_pool.py
+++ b/flaxstep/proxy/connection_pool.py
@@ -195,9 +195,7 @@
             return
         finally:
             self.pending_connects -= 1
-            self.account.remove(
-                connection
-            )  # until it sends: a connection that is cancelled now is never lost
+            self.account.remove(connection)  # a connection that is cancelled now is never lost
         attempt.connection_wait = None
         # The server may have started to drain meanwhile, or have restarted at another address.
         changed = attempt.version != server.version
@@ -210,6 +208,7 @@
             # Counted here, not in connection_made: if connecting is cancelled just as it succeeds, uvloop
             # closes the connection without connection_lost, and it would count against the limit for ever.
             self.connections.add(connection)
+            connection.holds_nothing_more = False
             connection.send_request(attempt)
 
     def log_limit_reached(self) -> None:
--- a/flaxstep/proxy/memory_account.py
+++ b/flaxstep/proxy/memory_account.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import os
-from typing import Protocol
 
 from flaxstep.proxy.event_log import log_event
 
@@ -33,14 +32,19 @@
 STATM_RESIDENT_FIELD = 1  # proc(5)
 
 
-class MemoryHolder(Protocol):
+class MemoryHolder:
     """Holds memory for one peer."""
 
+    held_bytes = 0  # as the account knows it
+    holds_nothing_more = False  # it has been removed from the account
+
     def count_held_bytes(self) -> int:
         """What the process holds for the peer, at its cost."""
+        raise NotImplementedError
 
     def release_memory(self) -> bool:
         """Give up what can be given up, with an answer where one is owed; False if nothing can be."""
+        return False
 
 
 def read_resident_bytes() -> int:
@@ -53,8 +57,11 @@
     return pages * os.sysconf("SC_PAGE_SIZE")
 
 
-class CountedHolder:
-    """Holds a number of like things for one peer, such as the entries or the bytes of a list."""
+class CountedHolder(MemoryHolder):
+    """Holds a number of like things for one peer, such as the entries or the bytes of a list.
+
+    It gives up none of them: lists have a limit of their own.
+    """
 
     def __init__(self, account: MemoryAccount, bytes_each: int) -> None:
         self.account = account
@@ -68,37 +75,36 @@
     def count_held_bytes(self) -> int:
         return self.count * self.bytes_each
 
-    def release_memory(self) -> bool:
-        """Nothing: lists have a limit of their own."""
-        return False
-
 
 class MemoryAccount:
-    """What all holders of a process hold together, and the buffer that they share for reading."""
+    """What all holders of a process hold together, and the buffer that they share for reading.
+
+    `total_bytes` is the size of the account, `share_bytes` what may be buffered of one body now.
+    """
 
     def __init__(self, limit_bytes: int) -> None:
         self.limit_bytes = limit_bytes
         self.resting_bytes = RESTING_BYTES
         self.process_count = 1  # that share the limit
-        self.holdings: dict[MemoryHolder, int] = {}
+        self.holders: set[MemoryHolder] = set()
         self.held_bytes = 0
         self.released_count = 0  # times that a holder gave something up, since the last log line
         self.releasing = False
-        self.retry_above = 0  # held bytes, after holders could not give up enough
         self.read_memory = bytearray(MAX_SHARE_BYTES)  # all connections read into it, one after the other
+        self.resize()
 
-    @property
-    def total_bytes(self) -> int:
-        """The size of the account."""
+    def resize(self, resting_bytes: int = 0, process_count: int = 0) -> None:
+        """Compute the size of the account, perhaps from another use at rest or number of processes."""
+        self.resting_bytes = resting_bytes or self.resting_bytes
+        self.process_count = process_count or self.process_count
         limit_bytes = self.limit_bytes // self.process_count
         margin_bytes = limit_bytes // MARGIN_DIVISOR
-        return max(limit_bytes - self.resting_bytes - margin_bytes, limit_bytes // MIN_SIZE_DIVISOR)
-
-    @property
-    def share_bytes(self) -> int:
-        """Bytes of one body that may be buffered now."""
-        left = self.total_bytes * BODY_PART_NUMERATOR // BODY_PART_DENOMINATOR - self.held_bytes
-        return min(max(left // SHARE_DIVISOR, MIN_SHARE_BYTES), MAX_SHARE_BYTES)
+        self.total_bytes = max(
+            limit_bytes - self.resting_bytes - margin_bytes, limit_bytes // MIN_SIZE_DIVISOR
+        )
+        self.bytes_for_bodies = self.total_bytes * BODY_PART_NUMERATOR // BODY_PART_DENOMINATOR
+        self.search_above = self.total_bytes  # held bytes; then holders have to give up something
+        self.add(0)
 
     @property
     def is_exhausted(self) -> bool:
@@ -116,31 +122,43 @@
 
     def update(self, holder: MemoryHolder) -> None:
         """Take over what the holder holds now, and make room if it is too much."""
+        if holder.holds_nothing_more:
+            return
         held_bytes = holder.count_held_bytes()
-        self.held_bytes += held_bytes - self.holdings.get(holder, 0)
-        self.holdings[holder] = held_bytes
-        if self.held_bytes > max(self.total_bytes, self.retry_above) and not self.releasing:
+        if held_bytes == holder.held_bytes:
+            return
+        self.holders.add(holder)
+        self.add(held_bytes - holder.held_bytes)
+        holder.held_bytes = held_bytes
+        if self.held_bytes > self.search_above and not self.releasing:
             self.make_room()
 
+    def add(self, more_bytes: int) -> None:
+        """Count more bytes, or fewer, as held."""
+        self.held_bytes += more_bytes
+        share_bytes = (self.bytes_for_bodies - self.held_bytes) // SHARE_DIVISOR
+        self.share_bytes = min(max(share_bytes, MIN_SHARE_BYTES), MAX_SHARE_BYTES)
+
     def remove(self, holder: MemoryHolder) -> None:
         """Forget a holder that holds nothing any more."""
-        self.held_bytes -= self.holdings.pop(holder, 0)
-        self.retry_above = min(self.retry_above, self.held_bytes + MAX_SHARE_BYTES)
+        self.holders.discard(holder)
+        self.add(-holder.held_bytes)
+        holder.held_bytes, holder.holds_nothing_more = 0, True
+        self.search_above = max(self.total_bytes, min(self.search_above, self.held_bytes + MAX_SHARE_BYTES))
 
     def make_room(self) -> None:
         """Let those who hold most give up what they can, until the account is within its size."""
         self.releasing = True  # what they do updates the account
         try:
-            for holder in sorted(self.holdings, key=lambda holder: -self.holdings[holder]):
-                if self.held_bytes <= self.total_bytes:
+            for holder in sorted(self.holders, key=lambda holder: -holder.held_bytes):
+                if not self.is_exhausted:
                     break
-                held_bytes = self.holdings.get(holder, 0)
+                held_bytes = holder.held_bytes
                 if holder.release_memory():
                     self.released_count += 1
-                    if holder in self.holdings:
-                        self.update(holder)
-                    log_event("memory_released", held=held_bytes, left=self.holdings.get(holder, 0))
+                    self.update(holder)
+                    log_event("memory_released", held=held_bytes, left=holder.held_bytes)
         finally:
             self.releasing = False
         # A further search would find nothing before more is held, or less.
-        self.retry_above = self.held_bytes + MAX_SHARE_BYTES if self.is_exhausted else 0
+        self.search_above = self.held_bytes + MAX_SHARE_BYTES if self.is_exhausted else self.total_bytes
--- a/flaxstep/proxy/node.py
+++ b/flaxstep/proxy/node.py
@@ -190,7 +190,7 @@
         """Size the account by what the process takes now, with the list that it has."""
         resting_bytes = read_resident_bytes()
         if resting_bytes:
-            self.account.resting_bytes = resting_bytes
+            self.account.resize(resting_bytes=resting_bytes)
             self.endpoint_updates.on_resting_memory_measured()
 
     # Events to the policy, and its actions.
@@ -504,7 +504,7 @@
     def update_limits(self) -> None:
         """Set the memory and connection limits: with two processes, each uses half of the node's."""
         process_count = 2 if self.shared_state.others_running else 1
-        self.account.process_count = process_count
+        self.account.resize(process_count=process_count)
         clients, servers = connection_limits(self.config.sockets // process_count)
         self.listener.set_limit(clients)
         self.pool.set_limit(servers)
--- a/flaxstep/proxy/request_bodies.py
+++ b/flaxstep/proxy/request_bodies.py
@@ -8,6 +8,7 @@
 from flaxstep.proxy.block_buffer import BlockBuffer
 from flaxstep.proxy.memory_account import MemoryAccount
 
+JOINED_BODY_BYTES = 4096  # up to this size a body is written with its head; two writes cost more than a copy
 BUFFERED_BODY_BYTES = 65536  # up to this size a body is buffered whole
 MAX_REQUEST_BODY_BYTES = 32 << 20  # larger requests are rejected
 
--- a/flaxstep/proxy/server_connections.py
+++ b/flaxstep/proxy/server_connections.py
@@ -17,10 +17,10 @@
 from flaxstep.proxy.forwarded_messages import ForwardedRequest, ServerResponse
 from flaxstep.proxy.header_limit import HeaderLimit, HeadersTooLong
 from flaxstep.proxy.idle_limit import IdleLimit
-from flaxstep.proxy.memory_account import SERVER_CONNECTION_BYTES, MemoryAccount
+from flaxstep.proxy.memory_account import SERVER_CONNECTION_BYTES, MemoryAccount, MemoryHolder
 from flaxstep.proxy.metrics import Metrics
 from flaxstep.proxy.read_turns import TurnLimitedProtocol, TurnScheduler
-from flaxstep.proxy.request_bodies import BUFFERED_BODY_BYTES
+from flaxstep.proxy.request_bodies import BUFFERED_BODY_BYTES, JOINED_BODY_BYTES
 from flaxstep.proxy.wall_clock import now_ms
 from flaxstep.routing.interface import Result, State
 
@@ -97,7 +97,7 @@
         """A chunk of the body of a streamed response was received."""
 
 
-class ServerConnection(TurnLimitedProtocol):
+class ServerConnection(TurnLimitedProtocol, MemoryHolder):
     """One connection to a server. It serves one attempt at a time."""
 
     def __init__(self, pool: ConnectionPool, server: EndpointConnections) -> None:
@@ -186,7 +186,8 @@
             if timer is not None:
                 timer.cancel()
         self.unsized_body_timer = self.write_timer = None
-        self.buffered_body = BlockBuffer()
+        if self.buffered_body:
+            self.buffered_body = BlockBuffer()
         if self.reading_paused:
             # The client of this attempt reads slowly; the response to the next one must be read all the same.
             self.pause_reading_response(False)
@@ -222,28 +223,22 @@
             length_header = b"Content-Length: %d\r\n" % upload.length
         head = b"%b%bRequest-Timeout: %dm\r\n\r\n" % (message.head, length_header, timeout_ms)
         if upload is None:
-            self.transport.writelines([head, *message.body.blocks])
+            if len(message.body) <= JOINED_BODY_BYTES:
+                self.transport.write(head + bytes(message.body))
+            else:
+                self.transport.writelines([head, *message.body.blocks])
             self.on_request_written()
         else:
             self.transport.write(head)
             self.transport.set_write_buffer_limits(0)  # buffer no body here: pause the client instead
             upload.attach(self)
-        self.update_account()
-
-    def update_account(self) -> None:
-        """Tell the account what this connection holds, while it is open."""
-        if not self.transport.is_closing():
-            self.pool.account.update(self)
+        self.pool.account.update(self)
 
     def count_held_bytes(self) -> int:
         """What the process holds for the server: of the request what it has not taken, of its response."""
         unsent_bytes = self.transport.get_write_buffer_size() if self.connected else 0
         return SERVER_CONNECTION_BYTES + self.buffered_body.count_held_bytes() + unsent_bytes
 
-    def release_memory(self) -> bool:
-        """Nothing: an attempt may have run, and its client waits for what has come of the response."""
-        return False
-
     def on_request_written(self) -> None:
         assert self.attempt is not None
         self.attempt.request_written = True
@@ -295,7 +290,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         self.take_turn(nbytes)
-        self.update_account()
+        self.pool.account.update(self)
 
     def take_input(self, nbytes: int) -> None:
         """Parse the bytes that were read, and pass on what has come of a streamed response."""
@@ -385,7 +380,8 @@
         if self.response_complete:
             self.unexpected_bytes = True
             return
-        self.buffered_body = BlockBuffer()
+        if self.buffered_body:
+            self.buffered_body = BlockBuffer()
         self.body_size, self.content_length, self.transfer_coding = 0, None, b""
         self.not_started = False
         self.content_type = b""
--- a/flaxstep/routing/begun_requests.py
+++ b/flaxstep/routing/begun_requests.py
@@ -42,7 +42,7 @@
     def __contains__(self, request_id: int) -> bool:
         if not self.words[0] and not self.words[1]:
             return False  # unused so far
-        return any(self.find_slot(generation, request_id)[1] for generation in (0, 1))
+        return self.find_slot(0, request_id)[1] or self.find_slot(1, request_id)[1]
 
     def find_slot(self, generation: int, request_id: int) -> tuple[int, bool]:
         """The slot that holds the id, or the empty one where it belongs, and whether it was found."""
--- a/tests/net.py
+++ b/tests/net.py
@@ -271,7 +271,7 @@
     @property
     def held_beyond_connections(self) -> int:
         """The bytes in the node's account but for those that each open connection costs."""
-        kinds = Counter(type(holder) for holder in self.node.account.holdings)
+        kinds = Counter(type(holder) for holder in self.node.account.holders)
         connection_bytes = kinds[ClientConnection] * CLIENT_CONNECTION_BYTES
         connection_bytes += kinds[ServerConnection] * SERVER_CONNECTION_BYTES
         endpoint_bytes = len(self.node.endpoint_updates.listed) * ENDPOINT_BYTES
