--- a/flaxstep/proxy/read_turns.py
+++ b/flaxstep/proxy/read_turns.py
@@ -9,6 +9,7 @@
 # Of one turn of the loop, for all connections that want more than one read. libuv accepts one connection in a
 # turn, so long turns keep new clients waiting.
 TURN_S = 0.001
+CLOCK_RESOLUTION_S = 1e-6  # a clock may stand still while little is done
 MIN_READ_BYTES, MAX_READ_BYTES = 1024, 65536  # in one read; fewer of input that takes long to parse
 
 
@@ -93,7 +94,7 @@
             self.end_turn()
         started = time.perf_counter()
         self.take_input(nbytes)
-        turn_s = time.perf_counter() - started
+        turn_s = max(time.perf_counter() - started, CLOCK_RESOLUTION_S)
         self.used_s += turn_s
         if nbytes >= MIN_READ_BYTES:  # less says little of what is to come
             bytes_in_turn = int(TURN_S / 2 * nbytes / turn_s)
