Let only as many holders give up memory as the account needs

Cause, found by reading: a connection that is closed or reset for memory holds its bytes until the loop's next turn, so the search went on as if nothing had been given up, and ended further readers and all idle connections. Change: a holder says how much it frees, at once or when it has closed, and the search ends by that.

--- a/flaxstep/proxy/client_connections.py
+++ b/flaxstep/proxy/client_connections.py
@@ -237,15 +237,17 @@
                 held_bytes += item.message.count_held_bytes()
         return held_bytes
 
-    def release_memory(self) -> bool:
+    def release_memory(self) -> int:
         """Refuse what has not begun; end a connection that owes no answer, or whose answers are not read."""
+        held_bytes = self.held_bytes
         if self.transport.is_closing():
-            return False
+            return 0
         if self.writing_paused:
             self.reset("memory")
-        elif self.input_finished:
-            return False
-        elif self.receiving_request:
+            return held_bytes
+        if self.input_finished:
+            return 0
+        if self.receiving_request:
             self.stop_reading(BadRequest(503))
             self.refuse_queued_requests()
             self.serve_next_requests()
@@ -253,9 +255,9 @@
             self.refuse_queued_requests()
         elif not self.serving_request:
             self.close("memory")
-        else:
-            return False
-        return True
+            return held_bytes
+        self.listener.account.update(self)
+        return held_bytes - self.held_bytes
 
     def refuse_queued_requests(self) -> None:
         """Answer the requests that wait for their turn with 503: none of them has been sent to a server."""
--- a/flaxstep/proxy/memory_account.py
+++ b/flaxstep/proxy/memory_account.py
@@ -13,7 +13,7 @@
 from flaxstep.proxy.event_log import log_event
 
 RESTING_BYTES = 21 << 20  # of a process without connections, until it has been measured
-MARGIN_DIVISOR = 10  # of the limit: for what is in no account, and for what the allocator keeps
+MARGIN_DIVISOR = 8  # of the limit: for what is in no account, and for what the allocator keeps
 MIN_SIZE_DIVISOR = 16  # of the limit: the least size of the account, if the process takes more than expected
 
 # What a connection or request costs beside its bytes: objects, timers, and the parts of the event loop.
@@ -42,9 +42,12 @@
         """What the process holds for the peer, at its cost."""
         raise NotImplementedError
 
-    def release_memory(self) -> bool:
-        """Give up what can be given up, with an answer where one is owed; False if nothing can be."""
-        return False
+    def release_memory(self) -> int:
+        """Give up what can be given up, with an answer where one is owed.
+
+        Return how many bytes that will free, at once or when the connection has closed; 0: nothing can be.
+        """
+        return 0
 
 
 def read_resident_bytes() -> int:
@@ -149,15 +152,16 @@
     def make_room(self) -> None:
         """Let those who hold most give up what they can, until the account is within its size."""
         self.releasing = True  # what they do updates the account
+        excess_bytes = self.held_bytes - self.total_bytes
         try:
             for holder in sorted(self.holders, key=lambda holder: -holder.held_bytes):
-                if not self.is_exhausted:
+                if excess_bytes <= 0:
                     break
                 held_bytes = holder.held_bytes
-                if holder.release_memory():
+                if released_bytes := holder.release_memory():
+                    excess_bytes -= released_bytes
                     self.released_count += 1
-                    self.update(holder)
-                    log_event("memory_released", held=held_bytes, left=holder.held_bytes)
+                    log_event("memory_released", held=held_bytes, released=released_bytes)
         finally:
             self.releasing = False
         # A further search would find nothing before more is held, or less.
