Hand the server list and its lease from one process of a node to the next

Cause: a process of a node knew what the other could not ask anyone for. The new one took the list of its configuration and the lease of a node that starts alone, which each refused call extends.

Change: from the moment in which a process sees a successor it writes its list, the drains, the clock times of starts and its lease to a file of its own, then each change, and a last record at its end. The successor reads on until then. Which list is newer and how long it may be used is decided in flaxstep/routing. Without an upgrade nothing is written.

Why this works: the new process has the list of the old one before it says yes, hears what that is told later, and continues its lease; where that can't be known, no time of a node that starts alone is used.

--- a/flaxstep/proxy/discovery.py
+++ b/flaxstep/proxy/discovery.py
@@ -347,8 +347,12 @@
     def change_address(self, address: Address) -> None:
         """Use another address from the next call on, without the retry delay of the old one."""
         self.address, self.retry_delay_s, self.failure_logged = address, MIN_RETRY_DELAY_S, False
+        self.cancel_calls()  # the old address can't confirm the list any more
+
+    def cancel_calls(self) -> None:
+        """End the open calls: nothing more is read from them."""
         for task in self.calls:
-            task.cancel()  # the old address can't confirm the list any more
+            task.cancel()
 
     async def run(self) -> None:
         """Fetch and watch the list for ever, with a growing delay between failed calls."""
--- a/flaxstep/proxy/endpoint_updates.py
+++ b/flaxstep/proxy/endpoint_updates.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from flaxstep.proxy.connection_pool import ServerPool
-from flaxstep.proxy.member_list import Endpoint, MemberList, MemberListReader
+from flaxstep.proxy.member_list import Endpoint, HandedList, MemberList, MemberListReader
 from flaxstep.proxy.memory_account import CountedHolder
 from flaxstep.proxy.metrics import ServerMetrics
 from flaxstep.routing.interface import Event, ListKind, ServerList, State
@@ -30,6 +30,7 @@
         server_metrics: ServerMetrics,
         dispatch_event: Callable[[Event], None],
         held_endpoints: CountedHolder,
+        on_applied: Callable[[MemberList], None],
     ) -> None:
         self.reader = reader
         self.pool = pool
@@ -38,6 +39,7 @@
         self.listed: set[int] = set()
         self.held_endpoints = held_endpoints  # beyond those that count as memory at rest
         self.resting_count = 0
+        self.on_applied = on_applied  # called with each list that has been applied
 
     def apply(self, raw: Any, kind: ListKind | None) -> int | None:
         """Apply a list and return its version. ValueError, and no change, if it is no list.
@@ -45,6 +47,19 @@
         `kind` is None if the list itself tells it.
         """
         members = self.reader.read(raw, kind)
+        self.apply_members(members)
+        return members.version
+
+    def adopt(self, handed: HandedList, own_list_confirmed: bool) -> bool:
+        """Apply the list of the process that served before this one; False if the own list stays."""
+        members = self.reader.adopt(handed, own_list_confirmed)
+        if members is None:
+            return False
+        self.apply_members(members)
+        return True
+
+    def apply_members(self, members: MemberList) -> None:
+        """Apply a list that has been read."""
         endpoints = members.endpoints
         # New servers are added to the pool first: the policy may send to them while it handles the list.
         for endpoint in endpoints:
@@ -73,7 +88,7 @@
         self.held_endpoints.set_count(max(0, len(self.listed) - self.resting_count))
         if endpoints or members.kind is not ListKind.DELTA:
             self.log_list(members)
-        return members.version
+        self.on_applied(members)
 
     def on_resting_memory_measured(self) -> None:
         """The endpoints that are listed now count as memory at rest."""
--- a/flaxstep/proxy/member_list.py
+++ b/flaxstep/proxy/member_list.py
@@ -12,7 +12,7 @@
 from flaxstep.proxy.config import Address, parse_address
 from flaxstep.proxy.wall_clock import WallClock
 from flaxstep.routing.interface import ListKind, ServerEntry, State
-from flaxstep.routing.membership import MAX_TOMBSTONES, Membership
+from flaxstep.routing.membership import MAX_TOMBSTONES, Membership, Tombstone
 
 STATE_BY_LIFECYCLE = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
 MAX_LOGGED_FAULTS = 1024  # remembered, so that each is logged once
@@ -47,6 +47,28 @@
     monotonic: float  # computed when this start was first listed
 
 
+@dataclass(slots=True, frozen=True)
+class Drain:
+    """An endpoint that has drained or left, by the list that told it."""
+
+    endpoint_id: int
+    version: int
+    started: float  # on the monotonic clock, in ms
+    start: StartTime | None  # on both clocks, if that is still known
+
+
+@dataclass(slots=True, frozen=True)
+class HandedList:
+    """The list of one process of a node, or a change of it, as the next process gets it."""
+
+    version: int  # the newest that the process has seen
+    watch_version: int | None  # from which it watches; None: it needs the full list
+    whole: bool  # otherwise only changed endpoints
+    endpoints: list[Endpoint]
+    drains: list[Drain]
+    lowest_clock_offset: float  # Unix time minus monotonic time, in ms, as of WallClock
+
+
 @dataclass(slots=True)
 class _Fault:
     """A field with an invalid value."""
@@ -100,6 +122,51 @@
         latest_by_id = {endpoint.entry.id: endpoint for endpoint in endpoints}
         return MemberList(kind, version, self._resolve(kind, version, list(latest_by_id.values())))
 
+    def export(self, watch_version: int | None) -> HandedList:
+        """Return the list in force, with the drains that it no longer names."""
+        drains = []
+        for endpoint_id, tombstone in self.membership.tombstones.items():
+            start = self.known_starts.get(endpoint_id)
+            if start is not None and start.monotonic != tombstone.started:
+                start = None  # of a later start
+            drains.append(Drain(endpoint_id, tombstone.version, tombstone.started, start))
+        endpoints = list(self.known_endpoints.values())
+        version, offset = self.membership.newest_version, self.clock.lowest_offset
+        return HandedList(version, watch_version, True, endpoints, drains, offset)
+
+    def export_change(self, endpoints: list[Endpoint], watch_version: int | None) -> HandedList:
+        """Return a change that has been applied."""
+        version, offset = self.membership.newest_version, self.clock.lowest_offset
+        return HandedList(version, watch_version, False, endpoints, [], offset)
+
+    def adopt(self, handed: HandedList, own_list_confirmed: bool) -> MemberList | None:
+        """Apply the list of the predecessor, the other process of this node; None if the own one stays.
+
+        Its drains are kept either way. It may have computed starts before the wall clock was stepped, so its
+        clock times of them count.
+        """
+        self.clock.include_offset(handed.lowest_clock_offset)
+        accepted = self.membership.accepts_handover(handed.version, own_list_confirmed)
+        members: MemberList | None = None
+        if accepted:
+            for endpoint in handed.endpoints:
+                self._adopt_start(endpoint.entry.id, StartTime(endpoint.started_at, endpoint.entry.started))
+            for drain in handed.drains:
+                if drain.start is not None:
+                    self._adopt_start(drain.endpoint_id, drain.start)
+            kind = ListKind.FULL if handed.whole else ListKind.DELTA
+            members = MemberList(kind, handed.version, self._resolve(kind, handed.version, handed.endpoints))
+        self.membership.add_tombstones(
+            {drain.endpoint_id: Tombstone(drain.version, drain.started) for drain in handed.drains}, accepted
+        )
+        return members
+
+    def _adopt_start(self, endpoint_id: int, start: StartTime) -> None:
+        known = self.known_starts.pop(endpoint_id, None)
+        if known is not None and known.unix == start.unix:
+            self.membership.replace_start(endpoint_id, known.monotonic, start.monotonic)
+        self.known_starts[endpoint_id] = start
+
     def _resolve(self, kind: ListKind, version: int | None, endpoints: list[Endpoint]) -> list[Endpoint]:
         entries = [endpoint.entry for endpoint in endpoints]
         resolved = self.membership.resolve(kind, version, entries)
--- a/flaxstep/proxy/node.py
+++ b/flaxstep/proxy/node.py
@@ -29,8 +29,9 @@
 from flaxstep.proxy.endpoint_updates import EndpointUpdates
 from flaxstep.proxy.event_log import log_event
 from flaxstep.proxy.forwarded_messages import ForwardedRequest, ServerResponse
+from flaxstep.proxy.handover import Handover
 from flaxstep.proxy.identifiers import stable_id
-from flaxstep.proxy.member_list import MemberListReader
+from flaxstep.proxy.member_list import HandedList, MemberList, MemberListReader
 from flaxstep.proxy.memory_account import (
     ENDPOINT_BYTES,
     CountedHolder,
@@ -60,6 +61,7 @@
     Request,
     Result,
     Send,
+    Serving,
     Subscribe,
     Timer,
     Uploaded,
@@ -75,16 +77,24 @@
 # For listeners, discovery, files, admin connections, and connections that are closing.
 RESERVED_DESCRIPTORS = 64
 CACHED_LIST_WAIT_S = 1.0  # for discovery, if the node has a list from before its restart
+# In an upgrade, for discovery or the old process, if there is a list from before. The old process serves on;
+# the new one has to be ready within 6 s of its start.
+HANDOVER_WAIT_S = 4.0
 MAX_STARTUP_WAIT_S = 5.0  # the node reports that it is ready after this, even without discovery
 ACCEPT_AFTER_SIGTERM_S = 0.6  # new connections are accepted for this long
-# Requests are read for this long after SIGTERM. SIGKILL may follow this time plus the longest deadline.
+# Requests are read for this long after SIGTERM. SIGKILL may follow this time plus the longest deadline, which
+# counts as 3 s at most.
 READ_AFTER_SIGTERM_S = 0.7
+MAX_COUNTED_DEADLINE_S = 3.0
+# A process with a successor learns no more this long before SIGKILL may come: it could not hand it over.
+HANDOVER_END_MARGIN_S = 0.15
 MAX_DRAIN_S = 60.0  # after SIGTERM: the node exits even if a client has not read its response
 SHARED_STATE_POLL_S = 0.1
 MAX_LISTEN_RETRY_S = 8.0  # from the start: the node has to be ready within 10 s
 LISTEN_RETRY_DELAY_S = 0.1
 RESOURCE_SHORTAGE_ERRNOS = frozenset({errno.ENOBUFS, errno.ENOMEM, errno.EMFILE, errno.ENFILE, errno.EAGAIN})
 DRAIN_POLL_S = 0.02
+HANDOVER_POLL_S = 0.02
 
 log = logging.getLogger("flaxstep.proxy")
 
@@ -155,6 +165,7 @@
             self.server_metrics,
             self.dispatch_event,
             CountedHolder(self.account, ENDPOINT_BYTES),
+            self.on_list_applied,
         )
         self.discovery = Discovery(
             config.discovery,
@@ -177,6 +188,14 @@
         }
         self.cordons = Cordons(config, self.pool, self.endpoint_updates.listed, self.dispatch_event)
         self.shared_state = self.cordons.shared_state
+        self.handover = Handover(
+            self.shared_state,
+            self.endpoint_updates,
+            self.dispatch_event,
+            lambda: self.policy.lease.export_state(now_ms()),
+            lambda: self.discovery.version,
+            self.on_handed_list,
+        )
         if config.admin is not None:
             self.shared_state.start()  # before the list: nothing may be sent to cordoned servers
         self.dispatch_event(DiscoveryReach(Reach.STARTED))
@@ -409,9 +428,17 @@
 
     def apply_list(self, raw: Any, kind: ListKind | None) -> int | None:
         """Apply a list; see on_list."""
-        version = self.endpoint_updates.apply(raw, kind)
+        return self.endpoint_updates.apply(raw, kind)
+
+    def on_list_applied(self, members: MemberList) -> None:
+        """A list is in force now, from wherever it came."""
         self.healthy = True
-        return version
+        self.handover.record_list(members)
+
+    def on_handed_list(self, handed: HandedList) -> None:
+        """Apply a list from the process that served before this one, unless the own one is newer."""
+        if self.endpoint_updates.adopt(handed, self.list_confirmed.is_set()):
+            self.discovery.version = handed.watch_version
 
     def on_reach(self, reach: Reach, since: float) -> None:
         """Pass on the state of the connection to discovery: the policy decides how long the list is valid."""
@@ -420,6 +447,7 @@
         lease, now = self.policy.lease, now_ms()
         was_valid, before = lease.is_valid(now), lease.expires - now
         self.dispatch_event(DiscoveryReach(reach, since))
+        self.handover.record_lease()
         left = lease.expires - now
         # No line for each confirmation: a watch sends one with every heartbeat.
         if reach is not Reach.CONFIRMED or not was_valid:
@@ -465,6 +493,12 @@
             age >= CACHED_LIST_WAIT_S and self.policy.lease.is_valid(now_ms())
         )
 
+    @property
+    def list_handed_over(self) -> bool:
+        """Whether the process that served before this one has handed over a list that can be used."""
+        lease = self.policy.lease
+        return lease.predecessor_heard_once and lease.is_valid(now_ms())
+
     def report_health(self, _: bytes) -> Reply:
         if self.ready:
             return 200, "ready"
@@ -500,6 +534,7 @@
                 else "this is the node's only process again",
             )
             self.update_limits()
+        self.handover.poll()
 
     def update_limits(self) -> None:
         """Set the memory and connection limits: with two processes, each uses half of the node's."""
@@ -537,9 +572,13 @@
         self.discovery_task = self.loop.create_task(self.discovery.run())
         while not self.shared_state.fully_read and self.loop.time() - self.started_at < MAX_STARTUP_WAIT_S:
             await asyncio.sleep(SHARED_STATE_POLL_S)  # it may hold cordons
+        if self.config.admin is not None:
+            self.handover.find_predecessor()
         if self.shared_state.others_running:
             await self.wait_for_list()
+        self.dispatch_event(Serving())
         self.client_listener = await self.listen_with_retry(self.listener.start)
+        self.handover.serving = True
         log.info("%s listens on %s:%d", self.config.name, *self.client_listener.sockets[0].getsockname()[:2])
 
     async def listen_with_retry(self, listen: Callable[[], Awaitable[asyncio.Server]]) -> asyncio.Server:
@@ -559,9 +598,13 @@
     async def wait_for_list(self) -> None:
         """Listen only once this process can serve as well as the old one, which still serves."""
         self.update_limits()
-        with suppress(TimeoutError):
-            async with asyncio.timeout(CACHED_LIST_WAIT_S if self.healthy else None):
-                await self.list_confirmed.wait()
+        while not self.list_confirmed.is_set() and not self.list_handed_over:
+            wait_s = HANDOVER_WAIT_S if self.shared_state.others_running else CACHED_LIST_WAIT_S
+            if self.healthy and self.loop.time() - self.started_at >= wait_s:
+                return
+            with suppress(TimeoutError):
+                async with asyncio.timeout(HANDOVER_POLL_S):
+                    await self.list_confirmed.wait()
 
     def mark_discovery_moved(self) -> None:
         """SIGHUP: from now on the old address serves for a fixed time, even if the file can't be read yet."""
@@ -581,6 +624,8 @@
         """Accept what still arrives for a while, answer all pending requests, then close."""
         self.stopping, started = True, self.loop.time()
         log.info("stopping: %d requests pending", len(self.pending_requests))
+        if self.shared_state.successor_running:
+            self.loop.call_later(self.compute_earliest_kill_s() - HANDOVER_END_MARGIN_S, self.learn_no_more)
         if self.client_listener is not None:
             self.listener.close_idle()
             await asyncio.sleep(ACCEPT_AFTER_SIGTERM_S)
@@ -592,6 +637,18 @@
         self.close()  # the list is watched until here, as pending requests may be retried
         log.info("stopped")
 
+    def compute_earliest_kill_s(self) -> float:
+        """After how many seconds from SIGTERM SIGKILL may come."""
+        longest_deadline_s = max(cls.deadline for cls in self.config.settings.classes) / 1000
+        return READ_AFTER_SIGTERM_S + min(longest_deadline_s, MAX_COUNTED_DEADLINE_S)
+
+    def learn_no_more(self) -> None:
+        """Stop watching discovery, and tell a successor that it has all news."""
+        if self.discovery_task is not None:
+            self.discovery_task.cancel()
+        self.discovery.cancel_calls()
+        self.handover.end()
+
     async def wait_until_empty(self, until: float) -> None:
         """Wait until all client connections are closed, at most until this time of the loop's clock."""
         while self.listener.has_clients and self.loop.time() < until:
@@ -603,7 +660,6 @@
         for server in (self.client_listener, self.admin_listener):
             if server is not None:
                 server.close()
-        if self.discovery_task is not None:
-            self.discovery_task.cancel()
+        self.learn_no_more()
         self.shared_state.close()
         self.begun_request_files.close()
--- a/flaxstep/proxy/shared_state.py
+++ b/flaxstep/proxy/shared_state.py
@@ -20,6 +20,8 @@
 
 MAX_FILE_BYTES = 1 << 20  # larger files were not written by a node
 LOCK_TIMEOUT_S = 0.1  # the lock is held for a far shorter time
+# Of the files of one process.
+PRESENCE_SUFFIX, HANDOVER_SUFFIX, UNFINISHED_HANDOVER_SUFFIX = ".alive", ".list", ".unfinished-list"
 
 log = logging.getLogger("flaxstep.proxy")
 
@@ -105,7 +107,7 @@
     ) -> None:
         self.on_change = on_change  # called with the old and the new state
         self.state = OperatorState()
-        self.others_running = False  # another process of this node is running
+        self.running_others: list[Path] = []  # the presence files of this node's other processes
         self.last_file_stamp: tuple[int, int] | None = None  # of the state file when last read
         self.folder = folder
         prefix = shared_file_prefix(name)
@@ -119,7 +121,7 @@
         if folder is not None:
             self.state_file, self.lock_file = folder / f"{prefix}.json", folder / f"{prefix}.lock"
             self.moments_file = folder / f"{prefix}.moments.json"
-            self.presence_file = folder / f"{prefix}.{os.getpid()}-{time.monotonic_ns()}.alive"
+            self.presence_file = folder / f"{prefix}.{os.getpid()}-{time.monotonic_ns()}{PRESENCE_SUFFIX}"
 
     def start(self) -> None:
         """Read the shared state for the first time, and announce this process."""
@@ -131,6 +133,7 @@
             for path in self.other_presence_files():
                 if not is_locked(path):  # left by a process that was killed
                     path.unlink(missing_ok=True)
+            self.remove_unused_handovers()
             descriptor = os.open(self.presence_file, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
             try:
                 fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
@@ -139,6 +142,14 @@
                 raise
             self.presence_descriptor = descriptor
 
+    def remove_unused_handovers(self) -> None:
+        """Remove the lists that processes have left which are not running any more."""
+        assert self.folder is not None
+        unfinished = self.files_with_suffix(UNFINISHED_HANDOVER_SUFFIX)
+        for path in self.files_with_suffix(HANDOVER_SUFFIX) + unfinished:
+            if not is_locked(path.with_suffix(PRESENCE_SUFFIX)):
+                path.unlink(missing_ok=True)
+
     def close(self) -> None:
         """Remove the presence file and release its lock."""
         self.closed = True
@@ -173,8 +184,23 @@
         return ""
 
     def detect_other_processes(self) -> None:
-        """Check whether another process holds the lock of its presence file."""
-        self.others_running = any(is_locked(path) for path in self.other_presence_files())
+        """Check which other processes hold the locks of their presence files."""
+        self.running_others = [path for path in self.other_presence_files() if is_locked(path)]
+
+    @property
+    def others_running(self) -> bool:
+        """Whether another process of this node is running."""
+        return bool(self.running_others)
+
+    @property
+    def successor_running(self) -> bool:
+        """Whether a process of this node that started after this one is running."""
+        return any(started_ns(path) > started_ns(self.presence_file) for path in self.running_others)
+
+    def find_predecessor(self) -> Path | None:
+        """The presence file of the youngest running process that started before this one."""
+        earlier = [path for path in self.running_others if started_ns(path) < started_ns(self.presence_file)]
+        return max(earlier, key=started_ns) if earlier else None
 
     def retry_unfinished(self) -> None:
         """Announce this process and save its cordons, if that has failed before."""
@@ -263,13 +289,16 @@
 
     def other_presence_files(self) -> list[Path]:
         """The presence files of other processes of this node, running or not."""
+        return [path for path in self.files_with_suffix(PRESENCE_SUFFIX) if path != self.presence_file]
+
+    def files_with_suffix(self, suffix: str) -> list[Path]:
+        """This node's files with this suffix in the folder."""
         assert self.folder is not None
-        names = [
-            name
+        return [
+            self.folder / name
             for name in os.listdir(self.folder)
-            if name.startswith(self.prefix) and name.endswith(".alive")
+            if name.startswith(self.prefix) and name.endswith(suffix)
         ]
-        return [self.folder / name for name in names if name != self.presence_file.name]
 
     @contextmanager
     def exclusive_lock(self) -> Iterator[None]:
@@ -311,6 +340,12 @@
     temporary.replace(path)
 
 
+def started_ns(presence_file: Path) -> int:
+    """When a process started, on the monotonic clock, by the name of its presence file; 0 if unknown."""
+    digits = presence_file.stem.rpartition("-")[2]
+    return int(digits) if digits.isdecimal() else 0
+
+
 def is_locked(path: Path) -> bool:
     """Whether a presence file is locked, so its process is running."""
     try:
--- a/flaxstep/proxy/wall_clock.py
+++ b/flaxstep/proxy/wall_clock.py
@@ -40,6 +40,10 @@
         self.lowest_offset = min(self.lowest_offset, offset)
         return step if abs(step) >= MIN_STEP_MS else 0.0
 
+    def include_offset(self, offset: float) -> None:
+        """Count an offset that another process of this machine has seen."""
+        self.lowest_offset = min(self.lowest_offset, offset)
+
     def to_monotonic(self, unix: float) -> float:
         """The latest monotonic time that this Unix time can mean, but never later than now."""
         return min(unix - self.lowest_offset, self.monotonic())
--- a/flaxstep/routing/interface.py
+++ b/flaxstep/routing/interface.py
@@ -188,6 +188,48 @@
     since: float = 0.0  # clock time at which the call that shows it began; for MOVED, of the signal
 
 
+@dataclass(slots=True)
+class PredecessorSeen:
+    """Another process of this node was running at the start of this one, or that can't be known.
+
+    What it was told is the node's news, and is not known here yet.
+    """
+
+
+@dataclass(slots=True, frozen=True)
+class LeaseState:
+    """The lease of one process of a node, as the next one continues it. All are clock times.
+
+    `confirmed_at` and `proven_until` are -inf if that never happened, the expiries inf if there are none.
+    """
+
+    confirmed_at: float  # the list was current
+    fixed_expiry: float
+    limited_at: float  # the fixed expiry was set
+    unwatched_expiry: float  # for a process that has no watch of its own
+    proven_until: float  # the list was current or discovery was proven down
+    moved_at: float  # of the last SIGHUP; -inf: none
+
+
+@dataclass(slots=True)
+class PredecessorLease:
+    """The predecessor has handed over its list, which is in force here, and its lease."""
+
+    state: LeaseState
+
+
+@dataclass(slots=True)
+class PredecessorEnded:
+    """The predecessor learns no more."""
+
+    complete: bool  # all that it was told has been handed over
+
+
+@dataclass(slots=True)
+class Serving:
+    """This process takes clients from now on, and reports that it is ready."""
+
+
 @dataclass(slots=True)
 class Request:
     """A client's request has arrived."""
@@ -297,6 +339,10 @@
 Event = (
     ServerList
     | DiscoveryReach
+    | PredecessorSeen
+    | PredecessorLease
+    | PredecessorEnded
+    | Serving
     | Request
     | Uploaded
     | DueChanged
--- a/flaxstep/routing/policy.py
+++ b/flaxstep/routing/policy.py
@@ -33,12 +33,16 @@
     ListKind,
     Log,
     Outcome,
+    PredecessorEnded,
+    PredecessorLease,
+    PredecessorSeen,
     Refuse,
     Request,
     Result,
     Send,
     ServerEntry,
     ServerList,
+    Serving,
     Settings,
     State,
     Subscribe,
@@ -282,6 +286,8 @@
             self.on_cordon(event.server)
         elif isinstance(event, Uncordon):
             self.on_uncordon(event)
+        elif isinstance(event, PredecessorSeen | PredecessorLease | PredecessorEnded | Serving):
+            self.on_upgrade(event)
         elif isinstance(event, Timer):
             if event.token == SUBSCRIBE_TOKEN:
                 self.actions.append(Subscribe())
@@ -1211,6 +1217,19 @@
         if entry.state is State.READY:
             self.add_ready_server(entry.id)
 
+    # Upgrades: the process that served before this one.
+
+    def on_upgrade(self, event: PredecessorSeen | PredecessorLease | PredecessorEnded | Serving) -> None:
+        """Apply to the lease what the predecessor knows, or may know."""
+        if isinstance(event, PredecessorLease):
+            self.lease.continue_from(event.state)
+        elif isinstance(event, PredecessorEnded):
+            self.lease.record_predecessor_end(self.now, event.complete)
+        elif isinstance(event, PredecessorSeen):
+            self.lease.record_predecessor()
+        else:
+            self.lease.record_serving(self.now)
+
     # Servers that operators cordon and uncordon.
 
     def on_cordon(self, server_id: int) -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
+from dataclasses import replace
 
 import pytest
 from hypothesis import given
@@ -11,6 +13,7 @@
 from flaxstep.routing.interface import (
     DiscoveryReach,
     Effect,
+    LeaseState,
     ListKind,
     Reach,
     Refuse,
@@ -22,7 +25,7 @@
     Settings,
     State,
 )
-from flaxstep.routing.membership import MembershipLease
+from flaxstep.routing.membership import WATCH_ENDS, MembershipLease
 from flaxstep.routing.policy import Policy
 
 GRACE = 500.0
@@ -202,6 +205,96 @@
         assert lease.expires <= model.notified_at() + GRACE / 2
 
 
+# Of a predecessor in the outage that began at 1000, seen at 4100: its list is good until 10000.
+IN_OUTAGE = LeaseState(0.0, math.inf, -math.inf, 10000.0, 4000.0, -math.inf)
+Act = Callable[[MembershipLease], None]
+
+
+def reached(at: float, reach: Reach, since: float | None = None) -> Act:
+    return lambda lease: lease.record_reach(at, reach, at if since is None else since)
+
+
+def heard(**changes: float) -> Act:
+    return lambda lease: lease.continue_from(replace(IN_OUTAGE, **changes))
+
+
+def serving(at: float) -> Act:
+    return lambda lease: lease.record_serving(at)
+
+
+def ended(at: float, complete: bool) -> Act:
+    return lambda lease: lease.record_predecessor_end(at, complete)
+
+
+def seen(lease: MembershipLease) -> None:
+    lease.record_predecessor()
+
+
+START = reached(4100, STARTED)
+UNHEARD = [START, seen, serving(4300)]
+DOWN_AT_START = reached(4150, UNREACHABLE)
+
+
+@pytest.mark.parametrize(
+    ("pushed", "acts", "end"),
+    [
+        # The predecessor's list is used as long as it could have used it, and on while the outage is proven.
+        (False, [START, seen, heard(), ended(4900, True)], 10000),
+        (False, [START, seen, heard(unwatched_expiry=5000.0), ended(4900, True)], 5000),
+        (False, [START, seen, DOWN_AT_START, heard(), ended(4900, True)], 10150),
+        (False, [START, seen, heard(), DOWN_AT_START, ended(4900, True)], 10150),
+        (False, [START, seen, heard(), ended(4900, True), reached(6500, UNREACHABLE)], 10000),  # a gap
+        (False, [START, seen, DOWN_AT_START, heard(proven_until=1000.0, unwatched_expiry=7000.0)], 7000),
+        (True, [START, seen, heard(unwatched_expiry=4250.0), DOWN_AT_START], 4150 + GRACE / 2),
+        # Nothing was handed over, or not all: its news counts as told 2 s after this process is ready.
+        (False, [*UNHEARD, DOWN_AT_START, reached(5500, UNREACHABLE)], 6300),
+        (False, [*UNHEARD, heard()], 6300),
+        (False, [*UNHEARD, heard(), ended(4900, False)], 6300),
+        (False, [*UNHEARD, ended(4900, True), DOWN_AT_START], 10150),
+        (True, [*UNHEARD, DOWN_AT_START], -math.inf),  # told from the start of a process
+        # On an open watch all news comes here too. It covers what went before once the predecessor has ended.
+        (False, [*UNHEARD, reached(4400, CONFIRMED)], 10400),
+        (False, [*UNHEARD, reached(4400, CONFIRMED), reached(4500, BROKEN)], 6300),
+        (False, [*UNHEARD, reached(4400, CONFIRMED), ended(4900, False), reached(5000, BROKEN)], 6300),
+        (False, [*UNHEARD, ended(4900, False), reached(5000, CONFIRMED), reached(5100, BROKEN)], 11000),
+        (False, [*UNHEARD, reached(6300, CONFIRMED), reached(6400, BROKEN)], 12300),
+        (True, [*UNHEARD, reached(4400, CONFIRMED)], 10400),
+        # Its doubts are shared, until the list has been confirmed after them.
+        (False, [START, seen, heard(fixed_expiry=4500.0, limited_at=4000.0), DOWN_AT_START], 4500),
+        (False, [START, heard(fixed_expiry=4500.0, limited_at=4000.0), reached(4400, CONFIRMED)], 10400),
+        (False, [START, heard(moved_at=4090.0), reached(4400, CONFIRMED, 4000)], 10000),  # the old address
+        (False, [START, heard(), heard(confirmed_at=5000.0, unwatched_expiry=11000.0)], 11000),
+        (False, [START, reached(4400, NEWS_LOST), heard(confirmed_at=4300.0)], 4400),
+        (False, [START, reached(4400, NEWS_LOST), heard(confirmed_at=4500.0)], 10000),
+    ],
+)
+def test_a_new_process_continues_the_lease_of_the_old_one(pushed: bool, acts: list[Act], end: float) -> None:
+    lease = MembershipLease(settings(pushed))
+    for act in acts:
+        act(lease)
+    assert lease.expires == end
+
+
+@given(st.booleans(), EVENTS, st.integers(0, 3000))
+def test_no_lease_is_longer_for_being_handed_over(
+    pushed: bool, events: list[tuple[int, Reach, int]], wait: int
+) -> None:
+    old, new, now = MembershipLease(settings(pushed)), MembershipLease(settings(pushed)), 0.0
+    old.record_reach(now, CONFIRMED, now)
+    for gap, reach, call_ms in events:
+        now += gap
+        if reach in (CONFIRMED, MOVED) or (reach in WATCH_ENDS) == old.watch_open:  # no call during a watch
+            old.record_reach(now, reach, max(now - call_ms, now - gap))
+    now += wait
+    new.record_reach(now, STARTED, now)
+    new.record_predecessor()
+    new.continue_from(old.export_state(now))
+    new.record_predecessor_end(now, complete=True)
+    assert new.expires <= old.expires
+    if not pushed:  # a watch on which news are pushed is not handed over
+        assert new.expires == old.expires
+
+
 def policy_with_one_endpoint() -> Policy:
     policy = Policy(settings(), 1)
     entry = ServerEntry(id=7, zone=0, kind=0, cell=0, state=State.READY, size=1.0, started=0.0)
