Go on by a predecessor's list while it lives and tells that it has handed over all

Where the old process ends late (a request that takes 4 s), the new one refused every request from 2 s after its yes to the end of the old one, in an outage of discovery, although it had been handed all news: 503 for 1.5 s in the traced play.

Cause: only the last record told the successor that it had all. Evidence: "list lease: unreachable; -0.174 s left" at 17:32:42.296, "the process before has handed over all" at 43.774, 503 between them.

Change: each lease that is handed over tells until when all has been handed over, and is written at each look at the shared folder (each 50 ms in an upgrade); until then, and for half of the grace after, the list counts. Nothing is assumed of a process that has stopped telling. A process with a door and no folder may have a predecessor that it can't see, so it gets no more time than one whose folder fails. A line of the file is no longer than the node may read of a list.

--- a/flaxstep/proxy/handover.py
+++ b/flaxstep/proxy/handover.py
@@ -30,7 +30,7 @@
     """Both ends of the handover as one process sees them.
 
     `export_lease` returns the lease as a successor continues it, and `watch_version` the version from which
-    this process watches. `on_list` applies a list from the predecessor.
+    this process watches. `on_list` applies a list from the predecessor. Longer lines are not read.
     """
 
     def __init__(
@@ -41,6 +41,7 @@
         export_lease: Callable[[], LeaseState],
         watch_version: Callable[[], int | None],
         on_list: Callable[[HandedList], None],
+        max_line_bytes: int,
     ) -> None:
         self.shared_state = shared_state
         self.reader_of_lists = updates.reader
@@ -48,6 +49,7 @@
         self.export_lease = export_lease
         self.watch_version = watch_version
         self.on_list = on_list
+        self.max_line_bytes = max_line_bytes
         self.codec = RecordCodec(updates.reader.zones, updates.reader.kinds)
         self.searched = False  # for a predecessor
         self.predecessor: HandoverReader | None = None
@@ -66,8 +68,9 @@
         self.searched = True
         presence_file = self.shared_state.find_predecessor()
         if presence_file is not None:
-            self.predecessor = HandoverReader(presence_file.with_suffix(HANDOVER_SUFFIX), self.codec)
-        if presence_file is not None or not self.shared_state.fully_read:
+            path = presence_file.with_suffix(HANDOVER_SUFFIX)
+            self.predecessor = HandoverReader(path, self.codec, self.max_line_bytes)
+        if presence_file is not None or self.shared_state.folder is None or not self.shared_state.fully_read:
             self.dispatch_event(PredecessorSeen())
 
     def poll(self) -> None:
@@ -120,6 +123,8 @@
                 writer.remove()
         elif writer.needs_rewrite:
             writer.rewrite([self.reader_of_lists.export(self.watch_version()), self.export_lease()])
+        else:
+            self.record_lease()  # also if nothing has changed: it tells that all has been handed over
 
     def record_list(self, members: MemberList) -> None:
         """A list has been applied."""
--- a/flaxstep/proxy/handover_files.py
+++ b/flaxstep/proxy/handover_files.py
@@ -17,7 +17,6 @@
 from flaxstep.proxy.shared_state import UNFINISHED_HANDOVER_SUFFIX
 
 MAX_ADDED_BYTES = 1 << 18  # of changes behind the first records; beyond that the file is written anew
-MAX_LINE_BYTES = 8 << 20  # as of a list from discovery
 READ_BYTES = 1 << 16
 RETRY_DELAY_S = 1.0  # after a failed write
 
@@ -99,9 +98,10 @@
 class HandoverReader:
     """Reads the file of the predecessor, as far as whole lines have been written."""
 
-    def __init__(self, path: Path, codec: RecordCodec) -> None:
+    def __init__(self, path: Path, codec: RecordCodec, max_line_bytes: int) -> None:
         self.path = path
         self.codec = codec
+        self.max_line_bytes = max_line_bytes
         self.descriptor: int | None = None
         self.inode = 0
         self.partial_line = b""
@@ -148,9 +148,9 @@
         *lines, self.partial_line = (self.partial_line + data).split(b"\n")
         records: list[Record] = []
         try:
-            if len(self.partial_line) > MAX_LINE_BYTES:
-                raise ValueError("a line without an end")
             records.extend(map(self.codec.decode, lines))
+            if len(self.partial_line) > self.max_line_bytes:
+                raise ValueError("a line is too long")
         except ValueError as error:
             log.warning("%s: %s; the rest is not used", self.path, error)
             self.malformed = True
--- a/flaxstep/proxy/node.py
+++ b/flaxstep/proxy/node.py
@@ -90,6 +90,7 @@
 HANDOVER_END_MARGIN_S = 0.15
 MAX_DRAIN_S = 60.0  # after SIGTERM: the node exits even if a client has not read its response
 SHARED_STATE_POLL_S = 0.1
+UPGRADE_POLL_S = 0.05  # while two processes run: each is to know soon what the other is told
 MAX_LISTEN_RETRY_S = 8.0  # from the start: the node has to be ready within 10 s
 LISTEN_RETRY_DELAY_S = 0.1
 RESOURCE_SHORTAGE_ERRNOS = frozenset({errno.ENOBUFS, errno.ENOMEM, errno.EMFILE, errno.ENFILE, errno.EAGAIN})
@@ -195,6 +196,7 @@
             lambda: self.policy.lease.export_state(now_ms()),
             lambda: self.discovery.version,
             self.on_handed_list,
+            self.account.max_list_bytes,
         )
         if config.admin is not None:
             self.shared_state.start()  # before the list: nothing may be sent to cordoned servers
@@ -497,7 +499,7 @@
     def list_handed_over(self) -> bool:
         """Whether the process that served before this one has handed over a list that can be used."""
         lease = self.policy.lease
-        return lease.predecessor_heard_once and lease.is_valid(now_ms())
+        return lease.heard_until > -math.inf and lease.is_valid(now_ms())
 
     def report_health(self, _: bytes) -> Reply:
         if self.ready:
@@ -523,10 +525,11 @@
 
     def poll_shared_state(self) -> None:
         """Read the shared state at regular intervals, and adjust the limits when a process comes or goes."""
-        self.loop.call_later(SHARED_STATE_POLL_S, self.poll_shared_state)
-        had_others = self.shared_state.others_running
+        others_running = self.shared_state.others_running
+        delay_s = UPGRADE_POLL_S if others_running else SHARED_STATE_POLL_S
+        self.loop.call_later(delay_s, self.poll_shared_state)
         self.shared_state.refresh()
-        if self.shared_state.others_running != had_others:
+        if self.shared_state.others_running != others_running:
             log.info(
                 "%s",
                 "another process of this node is running: each uses half of the limits"
@@ -576,8 +579,8 @@
             self.handover.find_predecessor()
         if self.shared_state.others_running:
             await self.wait_for_list()
-        self.dispatch_event(Serving())
         self.client_listener = await self.listen_with_retry(self.listener.start)
+        self.dispatch_event(Serving())
         self.handover.serving = True
         log.info("%s listens on %s:%d", self.config.name, *self.client_listener.sockets[0].getsockname()[:2])
 
--- a/flaxstep/routing/interface.py
+++ b/flaxstep/routing/interface.py
@@ -203,6 +203,7 @@
     `confirmed_at` and `proven_until` are -inf if that never happened, the expiries inf if there are none.
     """
 
+    exported_at: float  # all that was told until then has been handed over
     confirmed_at: float  # the list was current
     fixed_expiry: float
     limited_at: float  # the fixed expiry was set
--- a/flaxstep/routing/membership.py
+++ b/flaxstep/routing/membership.py
@@ -71,7 +71,7 @@
         self.predecessor_expiry = math.inf  # the fixed expiry of its lease
         self.predecessor_limited_at = -math.inf
         self.predecessor_unheard = False  # it may have been told more than it has handed over
-        self.predecessor_heard_once = False
+        self.heard_until = -math.inf  # what it was told until then has been handed over
         self.predecessor_ended_at = math.inf
 
     @property
@@ -91,9 +91,10 @@
         """When news that was not handed over counts as told to this process."""
         if not self.predecessor_unheard:
             return math.inf
-        if self.list_is_pushed and not self.predecessor_heard_once:
-            return -math.inf  # what the agent has counts as told from the start of a process (STANDING)
-        return self.ready_at + PREDECESSOR_NEWS_AFTER_READY_MS
+        told_at = self.heard_until + self.send_margin_ms
+        if self.list_is_pushed:
+            return told_at  # what the agent has counts as told from the start of a process (STANDING)
+        return max(told_at, self.ready_at + PREDECESSOR_NEWS_AFTER_READY_MS)
 
     def record_reach(self, now: float, reach: Reach, since: float) -> None:
         """Record what was learned about discovery at `now`, by a call that began at `since`."""
@@ -175,12 +176,12 @@
     def continue_from(self, state: LeaseState) -> None:
         """Continue the predecessor's lease: its list is in force here, and its limits hold here too."""
         self.moved_at = max(self.moved_at, state.moved_at)
-        if not self.predecessor_heard_once and self.confirmed_at == -math.inf:
+        if self.heard_until == self.confirmed_at == -math.inf:
             self._replace_own_start(state)
         else:
             self.unwatched_expiry = max(self.unwatched_expiry, state.unwatched_expiry)
             self.proven_until = max(self.proven_until, state.proven_until)
-        self.predecessor_heard_once = True
+        self.heard_until = state.exported_at
         if state.confirmed_at > self.confirmed_at:
             self.confirmed_at = state.confirmed_at
             if self.limited_at < state.confirmed_at:
@@ -207,6 +208,7 @@
             unwatched_expiry = min(unwatched_expiry, last_known + self.unwatched_validity_ms)
             proven_until = now
         return LeaseState(
+            exported_at=now,
             confirmed_at=self.confirmed_at,
             fixed_expiry=self._shared_fixed_expiry,
             limited_at=now
