Let a new process wait for its predecessor's list no longer than for discovery

Cause: let it wait 4 s for a list, as a predecessor of an earlier version serves on meanwhile. One that hangs serves nobody, and the two can't be told apart. Change: 1 s, as before.

--- a/flaxstep/proxy/node.py
+++ b/flaxstep/proxy/node.py
@@ -76,10 +76,8 @@
 MAX_UPLOAD_MS = 1000 * MAX_REQUEST_BODY_BYTES / MIN_UPLOAD_BYTES_PER_S
 # For listeners, discovery, files, admin connections, and connections that are closing.
 RESERVED_DESCRIPTORS = 64
-CACHED_LIST_WAIT_S = 1.0  # for discovery, if the node has a list from before its restart
-# In an upgrade, for discovery or the old process, if there is a list from before. The old process serves on;
-# the new one has to be ready within 6 s of its start.
-HANDOVER_WAIT_S = 4.0
+# For discovery or, in an upgrade, the old process, if the node has a list from before its start.
+CACHED_LIST_WAIT_S = 1.0
 MAX_STARTUP_WAIT_S = 5.0  # the node reports that it is ready after this, even without discovery
 ACCEPT_AFTER_SIGTERM_S = 0.6  # new connections are accepted for this long
 # Requests are read for this long after SIGTERM. SIGKILL may follow this time plus the longest deadline, which
@@ -602,8 +600,7 @@
         """Listen only once this process can serve as well as the old one, which still serves."""
         self.update_limits()
         while not self.list_confirmed.is_set() and not self.list_handed_over:
-            wait_s = HANDOVER_WAIT_S if self.shared_state.others_running else CACHED_LIST_WAIT_S
-            if self.healthy and self.loop.time() - self.started_at >= wait_s:
+            if self.healthy and self.loop.time() - self.started_at >= CACHED_LIST_WAIT_S:
                 return
             with suppress(TimeoutError):
                 async with asyncio.timeout(HANDOVER_POLL_S):
--- a/tests/test_upgrade_in_outage.py
+++ b/tests/test_upgrade_in_outage.py
@@ -64,6 +64,7 @@
     outage: str = "down"
     late_news: bool = False  # it comes to the old process only after the new one has started
     predecessor: str = "sound"
+    pushed: bool = False  # lists are pushed
     upgrades: int = 1
     idle: bool = False  # no clients at the upgrade
     held_request_s: float = 0.0  # a request at the old process takes this long, from before the upgrade
@@ -127,6 +128,7 @@
     entries = {name: server.list_entry(name) for name, server in servers.items()}
     catalog = await Catalog(respond_at_once, [entries[name] for name in NAMES[:3]]).start()
     raw = raw_config() | {"listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{catalog.port}"}
+    raw["settings"] = raw["settings"] | {"Discovery": "push" if play.pushed else "ask"}
     raw["settings"]["Obligations"] = raw["settings"]["Obligations"] | {"DrainGrace": 500.0}
     raw["known"] = catalog.listing()
     (folder / "config.json").write_text(json.dumps(raw))
@@ -245,6 +247,7 @@
     "discovery resets each call": Play(leaving, outage="resets"),
     "discovery never responds": Play(leaving, outage="hangs"),
     "the old process ends late": Play(leaving, held_request_s=4.0),
+    "lists are pushed": Play(leaving, pushed=True),
     "two upgrades": Play(leaving, upgrades=2),
     "no clients": Play(leaving, idle=True),
     "discovery stays up": Play(leaving, outage=""),
