Split the operators' calls from the node

No behaviour changes; the tests of the admin address, the cordons, the metrics and the import directions pass as they are.

--- a/flaxstep/proxy/node.py
+++ b/flaxstep/proxy/node.py
@@ -11,13 +11,14 @@
 import logging
 import math
 import random
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
 
-from flaxstep.proxy.admin import AdminServer, Reply
+from flaxstep.proxy.admin import AdminServer
+from flaxstep.proxy.admin_calls import AdminCalls
 from flaxstep.proxy.begun_request_files import BegunRequestFiles
 from flaxstep.proxy.client_connections import MIN_UPLOAD_BYTES_PER_S, ClientConnection
 from flaxstep.proxy.client_listener import Listener
@@ -459,23 +460,16 @@
                 reach.value,
             )
 
-    # Operators: calls of the admin server.
-
-    def admin_calls(self) -> dict[bytes, tuple[bytes, Callable[[bytes], Reply]]]:
-        return {
-            b"/admin/health": (b"GET", self.report_health),
-            b"/admin/stats": (b"GET", self.report_stats),
-            b"/admin/servers": (b"GET", self.report_servers),
-            b"/admin/cordon": (b"POST", self.cordons.cordon),
-            b"/admin/uncordon": (b"POST", self.cordons.uncordon),
-            b"/admin/quiesce": (b"POST", self.quiesce),
-            b"/admin/resume": (b"POST", self.resume),
-        }
+    # State that others ask for, and the other process of an upgrade.
 
     @property
     def draining(self) -> bool:
         return self.quiesced or self.stopping
 
+    def count_taken_requests(self) -> int:
+        """The requests that have come whole and have no final response."""
+        return sum(not pending.uploading for pending in self.pending_requests.values())
+
     @property
     def ready(self) -> bool:
         return self.healthy and self.list_wait_over and self.client_listener is not None and not self.draining
@@ -499,28 +493,6 @@
         lease = self.policy.lease
         return lease.heard_until > -math.inf and lease.is_valid(now_ms())
 
-    def report_health(self, _: bytes) -> Reply:
-        if self.ready:
-            return 200, "ready"
-        if self.stopping:
-            return 503, "stopping"
-        return 503, "quiesced" if self.quiesced else "starting"
-
-    def report_stats(self, _: bytes) -> Reply:
-        avoided = self.endpoint_updates.listed & self.policy.find_avoided_servers(now_ms())
-        gauges = {
-            "outstanding": sum(not pending.uploading for pending in self.pending_requests.values())
-            + self.listener.count_queued_requests(),
-            "discovered": len(self.endpoint_updates.listed),
-            "ejected": len(avoided),
-        }
-        return 200, self.metrics.to_statsd(gauges)
-
-    def report_servers(self, _: bytes) -> Reply:
-        outstanding = Counter(attempt.server.id for attempt in self.pool.attempts.values())
-        self.shared_state.refresh()  # the call may have gone to the other process
-        return 200, self.server_metrics.report(outstanding, self.shared_state.state.cordoned)
-
     def poll_shared_state(self) -> None:
         """Read the shared state at regular intervals, and adjust the limits when a process comes or goes."""
         others_running = self.shared_state.others_running
@@ -545,29 +517,12 @@
         self.listener.set_limit(clients)
         self.pool.set_limit(servers)
 
-    def quiesce(self, _: bytes) -> Reply:
-        """Drain the node: its clients reconnect elsewhere. Pending and new requests are still served."""
-        if not self.quiesced:
-            self.quiesced = True
-            log.info("quiesced: %d requests pending", len(self.pending_requests))
-            self.listener.close_idle()
-        return 200, "quiesced"
-
-    def resume(self, _: bytes) -> Reply:
-        """End the drain that quiesce began."""
-        if self.stopping:
-            return 409, "stopping: the node can't resume"
-        if self.quiesced:
-            self.quiesced = False
-            log.info("resumed")
-        return 200, "resumed"
-
     # Start and stop.
 
     async def start(self) -> None:
         """Start the admin server, discovery and the client listener."""
         if self.config.admin is not None:
-            admin_server, address = AdminServer(self.loop, self.admin_calls()), self.config.admin
+            admin_server, address = AdminServer(self.loop, AdminCalls(self).by_path()), self.config.admin
             self.admin_listener = await self.listen_with_retry(lambda: admin_server.start(address))
             self.poll_shared_state()
         self.discovery_task = self.loop.create_task(self.discovery.run())
