Leave no file behind that lacks what could not be written

Need: found by reading once more. After a failed write the file stayed as it was until it was begun anew, a second later at the earliest: a successor that came meanwhile, or after the next upgrade, would have read an old list first.

Change: a failed write removes the file. Whether a handed list may be used is asked of the lease, where it belongs. Measured: test_a_file_that_could_not_be_written_is_written_anew asks for it and failed before (the file existed).

--- a/flaxstep/proxy/handover_files.py
+++ b/flaxstep/proxy/handover_files.py
@@ -77,7 +77,7 @@
             self.descriptor = None
 
     def remove(self) -> None:
-        """Remove the file: there is no successor any more."""
+        """Remove the file. A successor that reads it reads to its end."""
         self.release()
         with suppress(OSError):
             self.path.unlink()
@@ -91,7 +91,7 @@
 
     def _fail(self, error: OSError) -> None:
         log.warning("%s: %s; the list is handed over later", self.path, error)
-        self.release()
+        self.remove()  # it lacks what could not be written
         self.retry_at_s = time.monotonic() + RETRY_DELAY_S
 
 
--- a/flaxstep/proxy/node.py
+++ b/flaxstep/proxy/node.py
@@ -490,8 +490,7 @@
     @property
     def list_handed_over(self) -> bool:
         """Whether the process that served before this one has handed over a list that can be used."""
-        lease = self.policy.lease
-        return lease.heard_until > -math.inf and lease.is_valid(now_ms())
+        return self.policy.lease.is_handed_over(now_ms())
 
     def poll_shared_state(self) -> None:
         """Read the shared state at regular intervals, and adjust the limits when a process comes or goes."""
--- a/flaxstep/routing/membership.py
+++ b/flaxstep/routing/membership.py
@@ -200,6 +200,10 @@
         else:
             self.unwatched_expiry, self.proven_until = state.unwatched_expiry, state.proven_until
 
+    def is_handed_over(self, now: float) -> bool:
+        """Whether requests may be routed by a list that the predecessor has handed over."""
+        return self.heard_until > -math.inf and self.is_valid(now)
+
     def export_state(self, now: float) -> LeaseState:
         """Return what a successor continues. It does not have this process's watch."""
         unwatched_expiry, proven_until = self.unwatched_expiry, self.proven_until
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -140,6 +140,7 @@
     monkeypatch.setattr(handover_files.os, "write", fail)
     writer.append(LEASE)
     assert not writer.is_open and not writer.needs_rewrite  # not again at once
+    assert not writer.path.exists()  # another successor would miss what could not be written
     writer.append(EndRecord())
     monkeypatch.undo()
     assert reader.read() == [] and not reader.ended
