Reserve the port of each play of the upgrade's table

What was seen: in one whole run of the suite all cases of test_upgrade_in_outage.py had an error at set-up: a new process did not log that it listens within 20 s.

Change: a socket that does not listen holds the port for the play, and a process that ends while its log is awaited fails the test at once, with the log.

--- a/tests/test_upgrade_in_outage.py
+++ b/tests/test_upgrade_in_outage.py
@@ -13,6 +13,7 @@
 import os
 import re
 import signal
+import socket
 import time
 from collections.abc import Callable, Iterator
 from contextlib import suppress
@@ -27,7 +28,6 @@
 from tests.test_discovery_failures import hang_call, reset_call
 from tests.test_drain import GRACE_S, Catalog, respond_at_once
 from tests.test_process import COMMAND, raw_config
-from tests.test_upgrade import free_port
 
 NEWS_AFTER_YES_S = 2.0  # DAYS, Upgrades: "Discovery's news counts as told 2 s after the yes"
 KILL_AFTER_YES_S = 3.7  # the longest deadline, as 3 s at most, and 0.7 s
@@ -51,6 +51,7 @@
     async def wait_for(self, pattern: str) -> None:
         async with asyncio.timeout(20.0):
             while not re.search(pattern, self.log):
+                assert self.process.returncode is None, self.log
                 await asyncio.sleep(0.01)
 
 
@@ -120,8 +121,12 @@
 
 async def run_play(play: Play, folder: Path) -> None:
     folder.mkdir()
-    tmpdir, port = folder / "tmp", free_port()
+    tmpdir = folder / "tmp"
     tmpdir.mkdir()
+    reserved = socket.socket()  # so that no other process gets the port while none of the node has it
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    reserved.bind(("127.0.0.1", 0))
+    port: int = reserved.getsockname()[1]
     servers: dict[str, FakeServer] = {}
     for name in NAMES:
         servers[name] = await FakeServer(record_arrivals(play.arrivals[name])).start()
@@ -200,6 +205,7 @@
         await old.wait_for(r"list \d, (full|delta)")
         await asyncio.sleep(1.5)
     finally:
+        reserved.close()
         for task in tasks:
             task.cancel()
         for node in play.processes:
