Count no confirmation of a predecessor by the address from before SIGHUP

Need: found by reading continue_from against record_reach. A new process that gets SIGHUP while the old one still drains has 4 s; the old one's watch, at the address from before, may send heartbeats for 1.5 s more, and each took the 4 s back.

Change: such a confirmation counts as an own one does, from 1.75 s after the signal on, or if the old process has been signalled too. Measured: a case of test_a_new_process_continues_the_lease_of_the_old_one failed before (10000 for 8500) and passes.

--- a/flaxstep/routing/membership.py
+++ b/flaxstep/routing/membership.py
@@ -175,6 +175,7 @@
 
     def continue_from(self, state: LeaseState) -> None:
         """Continue the predecessor's lease: its list is in force here, and its limits hold here too."""
+        moved_before = self.moved_at <= state.moved_at
         self.moved_at = max(self.moved_at, state.moved_at)
         if self.heard_until == self.confirmed_at == -math.inf:
             self._replace_own_start(state)
@@ -182,7 +183,8 @@
             self.unwatched_expiry = max(self.unwatched_expiry, state.unwatched_expiry)
             self.proven_until = max(self.proven_until, state.proven_until)
         self.heard_until = state.exported_at
-        if state.confirmed_at > self.confirmed_at:
+        by_present_address = moved_before or state.confirmed_at >= self.moved_at + OLD_ADDRESS_DELIVERY_MS
+        if state.confirmed_at > self.confirmed_at and by_present_address:
             self.confirmed_at = state.confirmed_at
             if self.limited_at < state.confirmed_at:
                 self.fixed_expiry = math.inf
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -267,6 +267,10 @@
         (False, [START, heard(moved_at=4090.0), reached(4400, CONFIRMED, 4000)], 10000),  # the old address
         (False, [START, heard(), heard(confirmed_at=5000.0, unwatched_expiry=11000.0)], 11000),
         (False, [START, reached(4400, NEWS_LOST), heard(confirmed_at=4300.0)], 4400),
+        # Its watch may be one at the address from before SIGHUP, until that closes its connections.
+        (False, [START, heard(), reached(4500, MOVED), heard(confirmed_at=6000.0)], 8500),
+        (False, [START, heard(), reached(4500, MOVED), heard(confirmed_at=6300.0)], 10000),
+        (False, [START, heard(), reached(4500, MOVED), heard(confirmed_at=6000.0, moved_at=4500.0)], 10000),
         (False, [START, reached(4400, NEWS_LOST), heard(confirmed_at=4500.0)], 10000),
     ],
 )
